--- /dev/null
+++ b/src/observability/metric-name.ts
@@ -0,0 +1,18 @@
+/**
+ * Every metric that the system reports; docs/METRICS.md lists them with units.
+ */
+import * as z from 'zod'
+
+/** Names of counters (no suffix), gauges (`.level`) and timings (`.milliseconds`). */
+export const MetricName = z.enum([
+  'log.records', 'log.unreadable_records', 'log.read_failures', 'log.cut', 'log.behind',
+  'log.appends', 'log.appended_records', 'log.append_failures', 'log.shed_records',
+  'state.offset.level', 'state.refused_stale', 'state.snapshot_bytes.level', 'state.snapshots_written', 'state.snapshots_loaded', 'state.snapshots_rejected',
+  'peers.connected.level', 'peers.connects', 'peers.failures', 'peers.bytes', 'peers.invalid_messages', 'peers.silent_connections',
+  'requests.accepted', 'requests.refused', 'requests.answered', 'requests.failed', 'requests.caller_gone', 'requests.retries', 'requests.crossed_answers', 'requests.cut_answers',
+  'requests.waiting.level', 'requests.running.level', 'requests.wait.milliseconds', 'requests.total.milliseconds',
+  'endpoints.connections.level', 'endpoints.opened_connections', 'endpoints.refusals', 'endpoints.ejections', 'endpoints.probes', 'endpoints.silent_connections',
+  'grants.units.level', 'grants.adjustments', 'claims.won', 'claims.joined', 'claims.unavailable',
+  'control.decisions', 'control.lease_losses', 'control.operations', 'supervision.restarts', 'supervision.failures'
+])
+export type MetricName = z.infer<typeof MetricName>
--- /dev/null
+++ b/src/schemas/command.ts
@@ -0,0 +1,31 @@
+/**
+ * Everything that can be decided in the log.
+ */
+import * as z from 'zod'
+import { ActivatePresetCommand } from './activate-preset-command.js'
+import { AvailabilityZoneCommand } from './availability-zone-command.js'
+import { ClaimCommand } from './claim-command.js'
+import { GrantCommand } from './grant-command.js'
+import { KeyCommand } from './key-command.js'
+import { LeaseCommand } from './lease-command.js'
+import { MemberCommand } from './member-command.js'
+import { PutCommand } from './put-command.js'
+import { RemoveCommand } from './remove-command.js'
+import { VirtualMachineCommand } from './virtual-machine-command.js'
+import { WaveCommand } from './wave-command.js'
+
+/** A command; the fold accepts or refuses it. */
+export const Command = z.discriminatedUnion('kind', [
+  PutCommand,
+  RemoveCommand,
+  KeyCommand,
+  ActivatePresetCommand,
+  AvailabilityZoneCommand,
+  VirtualMachineCommand,
+  MemberCommand,
+  GrantCommand,
+  LeaseCommand,
+  ClaimCommand,
+  WaveCommand
+])
+export type Command = z.infer<typeof Command>
--- /dev/null
+++ b/src/schemas/holder.ts
@@ -0,0 +1,12 @@
+/**
+ * Who holds a grant or a lease: one life of one process.
+ */
+import * as z from 'zod'
+import { Name } from './name.js'
+
+/** A member's name with its incarnation. */
+export const Holder = z.object({
+  member: Name,
+  incarnation: z.string().min(1).max(64)
+})
+export type Holder = z.infer<typeof Holder>
--- /dev/null
+++ b/src/schemas/put-command.ts
@@ -0,0 +1,24 @@
+/**
+ * Commands that create or replace one configuration object.
+ */
+import * as z from 'zod'
+import { CutOffPolicy } from './cut-off-policy.js'
+import { Pool } from './pool.js'
+import { Preset } from './preset.js'
+import { Queue } from './queue.js'
+import { Team } from './team.js'
+import { VirtualMachine } from './virtual-machine.js'
+
+/** Version that the author saw: 0 for "does not exist yet". The fold refuses the command if it is another by then. */
+const expectedVersion = z.number().int().min(0)
+
+/** Puts one object. */
+export const PutCommand = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('put-pool'), value: Pool, expectedVersion }),
+  z.object({ kind: z.literal('put-virtual-machine'), value: VirtualMachine, expectedVersion }),
+  z.object({ kind: z.literal('put-team'), value: Team, expectedVersion }),
+  z.object({ kind: z.literal('put-queue'), value: Queue, expectedVersion }),
+  z.object({ kind: z.literal('put-preset'), value: Preset, expectedVersion }),
+  z.object({ kind: z.literal('put-cut-off-policy'), value: CutOffPolicy, expectedVersion })
+])
+export type PutCommand = z.infer<typeof PutCommand>
--- /dev/null
+++ b/src/state/fleet-state.ts
@@ -0,0 +1,175 @@
+/**
+ * The state of the fleet: what all processes agree on, folded from the log.
+ */
+import type { AccessKey } from '../schemas/access-key.js'
+import type { Claim } from '../schemas/claim.js'
+import { CutOffPolicy } from '../schemas/cut-off-policy.js'
+import type { Decision } from '../schemas/decision.js'
+import type { FleetSnapshot } from '../schemas/fleet-snapshot.js'
+import type { Holder } from '../schemas/holder.js'
+import type { Lease } from '../schemas/lease.js'
+import type { LimitGrant } from '../schemas/limit-grant.js'
+import type { Pool } from '../schemas/pool.js'
+import type { Preset } from '../schemas/preset.js'
+import type { Queue } from '../schemas/queue.js'
+import type { Team } from '../schemas/team.js'
+import type { Versioned } from '../schemas/versioned.js'
+import type { VirtualMachineState } from '../schemas/virtual-machine-state.js'
+import type { Wave } from '../schemas/wave.js'
+
+/**
+ * Plain data with the few questions that the fold itself asks of it.
+ *
+ * Only `RecordFold` writes to it; every other part reads. Maps, not objects, so that no
+ * name an operator chooses can collide with a property of `Object.prototype`.
+ */
+export class FleetState {
+  /** Records up to and with this offset are folded. */
+  offset = 0
+  /** Latest author's time folded, in epoch milliseconds. */
+  latestTime = 0
+  /** Longest timeout that any queue has ever allowed, in milliseconds; a dead holder's work ends within it. */
+  longestTimeoutMilliseconds = 0
+  /** Offset of the last record that changed configuration, VMs, keys, zones or the preset. */
+  configurationOffset = 0
+  readonly pools = new Map<string, Versioned<Pool>>()
+  readonly virtualMachines = new Map<string, VirtualMachineState>()
+  readonly teams = new Map<string, Versioned<Team>>()
+  readonly queues = new Map<string, Versioned<Queue>>()
+  readonly presets = new Map<string, Versioned<Preset>>()
+  readonly keys = new Map<string, Versioned<AccessKey & { isWithdrawn: boolean }>>()
+  readonly availabilityZones = new Map<string, FleetSnapshot['availabilityZones'][number]>()
+  presetInForce: FleetSnapshot['presetInForce'] = null
+  cutOffPolicy: Versioned<CutOffPolicy> = { value: CutOffPolicy.parse({}), version: 0 }
+  readonly members = new Map<string, FleetSnapshot['members'][number]>()
+  /** Grants by team, then by holder. */
+  readonly grants = new Map<string, Map<string, LimitGrant>>()
+  readonly leases = new Map<string, Lease>()
+  /** Claims by key, in the order in which they were made. */
+  readonly claims = new Map<string, Claim>()
+  readonly waves = new Map<string, Wave>()
+  /** Decisions on operators' changes by id, oldest first. */
+  readonly decisions = new Map<string, Decision>()
+
+  /** Restores a state that `toSnapshot` wrote down. */
+  static fromSnapshot (snapshot: FleetSnapshot): FleetState {
+    const state = new FleetState()
+    state.offset = snapshot.offset
+    state.latestTime = snapshot.latestTime
+    state.longestTimeoutMilliseconds = snapshot.longestTimeoutMilliseconds
+    state.configurationOffset = snapshot.configurationOffset
+    for (const pool of snapshot.pools) state.pools.set(pool.value.name, pool)
+    for (const machine of snapshot.virtualMachines) state.virtualMachines.set(machine.value.id, machine)
+    for (const team of snapshot.teams) state.teams.set(team.value.name, team)
+    for (const queue of snapshot.queues) state.queues.set(queue.value.name, queue)
+    for (const preset of snapshot.presets) state.presets.set(preset.value.name, preset)
+    for (const key of snapshot.keys) state.keys.set(key.value.id, key)
+    for (const zone of snapshot.availabilityZones) state.availabilityZones.set(zone.name, zone)
+    state.presetInForce = snapshot.presetInForce
+    state.cutOffPolicy = snapshot.cutOffPolicy
+    for (const member of snapshot.members) state.members.set(member.id, member)
+    for (const grant of snapshot.grants) state.grantsOf(grant.team).set(FleetState.holderKey(grant.holder), grant)
+    for (const lease of snapshot.leases) state.leases.set(lease.name, lease)
+    for (const claim of snapshot.claims) state.claims.set(claim.key, claim)
+    for (const wave of snapshot.waves) state.waves.set(wave.name, wave)
+    for (const decision of snapshot.decisions) state.decisions.set(decision.id, decision)
+    return state
+  }
+
+  /** Key of a holder in maps. Names have no slash, so it is unique. */
+  static holderKey (holder: Holder): string {
+    return `${holder.member}/${holder.incarnation}`
+  }
+
+  /** Writes the state down; equal states give equal snapshots. */
+  toSnapshot (): FleetSnapshot {
+    return {
+      offset: this.offset,
+      latestTime: this.latestTime,
+      longestTimeoutMilliseconds: this.longestTimeoutMilliseconds,
+      configurationOffset: this.configurationOffset,
+      pools: [...this.pools.values()],
+      virtualMachines: [...this.virtualMachines.values()],
+      teams: [...this.teams.values()],
+      queues: [...this.queues.values()],
+      presets: [...this.presets.values()],
+      keys: [...this.keys.values()],
+      availabilityZones: [...this.availabilityZones.values()],
+      presetInForce: this.presetInForce,
+      cutOffPolicy: this.cutOffPolicy,
+      members: [...this.members.values()],
+      grants: [...this.grants.values()].flatMap(grants => [...grants.values()]),
+      leases: [...this.leases.values()],
+      claims: [...this.claims.values()],
+      waves: [...this.waves.values()],
+      decisions: [...this.decisions.values()]
+    }
+  }
+
+  /** Grants of a team by holder; created empty where there are none. */
+  grantsOf (team: string): Map<string, LimitGrant> {
+    const present = this.grants.get(team)
+    if (present) return present
+    const created = new Map<string, LimitGrant>()
+    this.grants.set(team, created)
+    return created
+  }
+
+  /** Units of a team's limit that are held, by the living and the dead. */
+  grantedUnits (team: string): number {
+    let sum = 0
+    for (const grant of this.grants.get(team)?.values() ?? []) sum += grant.units
+    return sum
+  }
+
+  /** Units of a team's limit that one holder has. */
+  unitsHeldBy (holder: Holder, team: string): number {
+    return this.grants.get(team)?.get(FleetState.holderKey(holder))?.units ?? 0
+  }
+
+  /** What the preset in force says of a team. */
+  presetTeam (team: string): Preset['teams'][number] | undefined {
+    return this.inForce()?.teams.find(entry => entry.team === team)
+  }
+
+  /** The upper limit of a team that is in force; 0 for an unknown team. */
+  upperLimit (team: string): number {
+    return this.presetTeam(team)?.upperLimit ?? this.teams.get(team)?.value.upperLimit ?? 0
+  }
+
+  /** The share of a team that is in force; 0 for an unknown team. */
+  share (team: string): number {
+    return this.presetTeam(team)?.share ?? this.teams.get(team)?.value.share ?? 0
+  }
+
+  /** The availability budget of a pool that is in force: fewest VMs that must serve. */
+  minimumServing (pool: string): number {
+    const override = this.inForce()?.pools.find(entry => entry.pool === pool)?.minimumServing
+    return override ?? this.pools.get(pool)?.value.minimumServing ?? 0
+  }
+
+  /** The preset in force, or undefined before the first activation. */
+  inForce (): Preset | undefined {
+    return this.presetInForce ? this.presets.get(this.presetInForce.name)?.value : undefined
+  }
+
+  /** Whether operators have taken a zone out. */
+  isZoneOut (availabilityZone: string): boolean {
+    return this.availabilityZones.get(availabilityZone)?.isOut ?? false
+  }
+
+  /** Whether new work may start on a VM. */
+  isServing (machine: VirtualMachineState): boolean {
+    return machine.phase === 'serving' && !machine.isAbsent && !this.isZoneOut(machine.value.availabilityZone)
+  }
+
+  /** VMs of a pool on which new work may start. */
+  servingIn (pool: string): VirtualMachineState[] {
+    return [...this.virtualMachines.values()].filter(machine => machine.value.pool === pool && this.isServing(machine))
+  }
+
+  /** Whether a holder is the living incarnation of its member. */
+  isLiving (holder: Holder): boolean {
+    return this.members.get(holder.member)?.incarnation === holder.incarnation
+  }
+}
--- /dev/null
+++ b/src/state/put-preset-handler.ts
@@ -0,0 +1,40 @@
+/**
+ * Decides `put-preset`.
+ */
+import type { Finding } from '../schemas/finding.js'
+import type { PutCommand } from '../schemas/put-command.js'
+import type { FleetState } from './fleet-state.js'
+import { presetFindings } from './preset-findings.js'
+import { PutHandler } from './put-handler.js'
+
+/** Creates or replaces a preset. Replacing the one in force takes effect at once and must be possible. */
+export class PutPresetHandler extends PutHandler<'put-preset'> {
+  override readonly kind = 'put-preset'
+
+  protected override versionOf (state: FleetState, { value }: Extract<PutCommand, { kind: 'put-preset' }>): number {
+    return state.presets.get(value.name)?.version ?? 0
+  }
+
+  protected override store (state: FleetState, { value }: Extract<PutCommand, { kind: 'put-preset' }>, version: number): void {
+    state.presets.set(value.name, { value, version })
+  }
+
+  protected override checkReferences (state: FleetState, { value }: Extract<PutCommand, { kind: 'put-preset' }>): Finding[] {
+    const findings = [
+      ...this._checkNames('pools', value.pools.map(entry => entry.pool), state.pools),
+      ...this._checkNames('teams', value.teams.map(entry => entry.team), state.teams)
+    ]
+    if (state.presetInForce?.name === value.name) findings.push(...presetFindings(state, value))
+    return findings
+  }
+
+  private _checkNames (part: 'pools' | 'teams', names: string[], known: ReadonlyMap<string, object>): Finding[] {
+    const field = part === 'pools' ? 'pool' : 'team'
+    return names.flatMap((name, index): Finding[] => {
+      const path = `$.${part}[${index}].${field}`
+      if (!known.has(name)) return [{ path, code: 'not-found', message: `${field} ${name} does not exist` }]
+      if (names.indexOf(name) !== index) return [{ path, code: 'duplicate', message: `${field} ${name} is named twice` }]
+      return []
+    })
+  }
+}
--- /dev/null
+++ b/src/supervision/system-clock.ts
@@ -0,0 +1,20 @@
+/**
+ * The clock of the machine, used by the daemons.
+ */
+import { setTimeout as delay } from 'node:timers/promises'
+import { Clock } from './clock.js'
+
+/** Longest delay that Node's timers take, in milliseconds. */
+const MAXIMUM_TIMER_MILLISECONDS = 2_147_483_647
+
+/** Reads the system's time and waits with the system's timers. */
+export class SystemClock extends Clock {
+  override now (): number {
+    return Date.now()
+  }
+
+  override async sleepUntil (deadline: number, signal?: AbortSignal): Promise<void> {
+    const wait = Math.min(Math.max(deadline - Date.now(), 0), MAXIMUM_TIMER_MILLISECONDS)
+    await delay(wait, undefined, signal ? { signal } : {})
+  }
+}
