Serve requests end to end as separate processes: stand-ins, command line and demo

Change: stand-ins of platform and endpoint with fault switches, the operators' program, the example deployment, and the demo that runs three zones as plain processes under traffic while operators work.

--- /dev/null
+++ b/src/command-line/change-waiter.ts
@@ -0,0 +1,44 @@
+/**
+ * Waits until a change is in force.
+ */
+import { setTimeout as delay } from 'node:timers/promises'
+import { Left, Right, type Either } from 'purify-ts/Either'
+import type { AdministrationClient } from './administration-client.js'
+import { CommandError } from './command-error.js'
+
+/** Pause between two questions, in milliseconds. */
+const POLL_MILLISECONDS = 200
+
+/** Asks `changes/{id}` until every entry VM has the change. */
+export class ChangeWaiter {
+  /** @param _onProgress told of every change of progress. */
+  constructor (private readonly _client: AdministrationClient, private readonly _onProgress: (line: string) => void) {}
+
+  /** Waits until `deadline` (epoch milliseconds). */
+  async wait (changeId: string, deadline: number): Promise<Either<CommandError, void>> {
+    let last = ''
+    for (;;) {
+      const answer = await this._client.call({ method: 'GET', path: `/changes/${encodeURIComponent(changeId)}` })
+      if (answer.isLeft() && (answer.extract() as CommandError).kind !== 'unreachable') return Left(answer.extract() as CommandError)
+      const document = answer.orDefault({})
+      if (document['status'] === 'refused') return Left(new CommandError('refused', `change ${changeId} was refused`))
+      if (document['isInForceEverywhere'] === true) return Right(undefined)
+      const line = this._describe(document)
+      if (line !== last) this._onProgress(line)
+      last = line
+      if (Date.now() >= deadline) return Left(this._lateness(changeId, document, line))
+      await delay(POLL_MILLISECONDS)
+    }
+  }
+
+  private _describe (document: Readonly<Record<string, unknown>>): string {
+    if (document['status'] !== 'accepted') return 'not yet decided'
+    const count = (field: string): number => (document[field] as string[] | undefined)?.length ?? 0
+    return `in force on ${count('inForceOn')}, not yet on ${count('notYetOn')}, not heard from ${count('notHeardFrom')}`
+  }
+
+  private _lateness (changeId: string, document: Readonly<Record<string, unknown>>, line: string): CommandError {
+    const kind = document['status'] === 'accepted' ? 'not-in-force' : 'unknown'
+    return new CommandError(kind, `change ${changeId}: ${line}`)
+  }
+}
--- /dev/null
+++ b/src/main/samphireglade.ts
@@ -0,0 +1,8 @@
+#!/usr/bin/env node
+/**
+ * Starts the operators' program.
+ */
+import { hideBin } from 'yargs/helpers'
+import { CommandLine } from '../command-line/command-line.js'
+
+process.exitCode = await new CommandLine(process.env).run(hideBin(process.argv))
--- /dev/null
+++ b/stand-ins/endpoint-server.ts
@@ -0,0 +1,231 @@
+/**
+ * The stand-in of a service instance on an endpoint VM. For development and tests only.
+ */
+import { once } from 'node:events'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { setTimeout as delay } from 'node:timers/promises'
+import { randomUUID } from 'node:crypto'
+import type { RandomSource } from '../src/supervision/random-source.js'
+import { EndpointFaults } from './endpoint-faults.js'
+import { JsonBody } from './json-body.js'
+
+/** How an endpoint is set up. */
+interface EndpointOptions {
+  readonly virtualMachine: string
+  readonly pool: string
+  /** Requests run at once; more are refused. */
+  readonly slots: number
+  /** Connections taken. */
+  readonly connections: number
+  /** Time that a request takes unless it says otherwise, in milliseconds. */
+  readonly workMilliseconds: number
+  readonly random: RandomSource
+}
+
+/** A request that ran, as the endpoint saw it. */
+interface LedgerEntry {
+  readonly requestId: string
+  readonly team: string | null
+  readonly pool: string
+  readonly method: string
+  readonly path: string
+  /** Caller's own mark of the request, from the header `x-mark`. */
+  readonly mark: string
+  readonly startedAt: number
+  endedAt: number | null
+}
+
+/** Runs requests in a number of slots and keeps a ledger of what ran. */
+export class EndpointServer {
+  /** Everything that has run, in the order of its start. */
+  readonly ledger: LedgerEntry[] = []
+  faults: EndpointFaults = EndpointFaults.parse({})
+  /** Requests cut by a reboot; a planned stop must leave this at 0. */
+  cutByReboot = 0
+  /** Most requests seen running at once. */
+  peakRunning = 0
+  private readonly _running = new Map<string, LedgerEntry>()
+  private readonly _sockets = new Set<Socket>()
+  private readonly _silent = new WeakSet<Socket>()
+  private readonly _server: Server
+  private _pool: string
+  private _bootId = randomUUID()
+  private _isRebooting = false
+
+  constructor (private readonly _options: EndpointOptions) {
+    this._pool = _options.pool
+    this._server = createServer({ keepAliveTimeout: 30_000 }, (message, response) => { void this._serve(message, response) })
+    this._server.maxConnections = _options.connections
+    this._server.on('connection', socket => this._accept(socket))
+  }
+
+  /** Pool whose service it runs. */
+  get pool (): string {
+    return this._pool
+  }
+
+  /** Requests running now. */
+  get running (): number {
+    return this._running.size
+  }
+
+  /** Listens; port 0 takes any free one. Returns the port. */
+  async listen (host: string, port: number): Promise<number> {
+    this._server.listen(port, host)
+    await once(this._server, 'listening')
+    return (this._server.address() as AddressInfo).port
+  }
+
+  /** Breaks all connections and stops. */
+  async close (): Promise<void> {
+    this._server.closeAllConnections()
+    this._server.close()
+    await once(this._server, 'close').catch(() => {})
+  }
+
+  /** Makes all open connections go silent for good; new ones work. */
+  silenceConnections (): void {
+    for (const socket of this._sockets) {
+      this._silent.add(socket)
+      socket.pause()
+      socket.removeAllListeners('data')
+    }
+  }
+
+  /** Reboots into a pool's service; whatever runs is cut. */
+  async reboot (pool: string, milliseconds: number): Promise<void> {
+    this._isRebooting = true
+    this.cutByReboot += this._running.size
+    for (const socket of this._sockets) socket.destroy()
+    this._running.clear()
+    await delay(milliseconds)
+    this._pool = pool
+    this._bootId = randomUUID()
+    this._isRebooting = false
+  }
+
+  private _accept (socket: Socket): void {
+    if (this.faults.isDown || this._isRebooting) {
+      socket.destroy()
+      return
+    }
+    this._sockets.add(socket)
+    socket.once('close', () => this._sockets.delete(socket))
+  }
+
+  private async _serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this._silent.has(message.socket)) return
+    if (message.url === '/healthz') this._reportHealth(response)
+    else if (message.url?.startsWith('/stand-in/')) await this._control(message, response)
+    else await this._work(message, response)
+  }
+
+  private _reportHealth (response: ServerResponse): void {
+    const { virtualMachine, slots } = this._options
+    JsonBody.send(response, { virtualMachine, pool: this._pool, bootId: this._bootId, slots, running: [...this._running.keys()] })
+  }
+
+  private async _control (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (message.url === '/stand-in/ledger') {
+      JsonBody.send(response, { ledger: this.ledger, cutByReboot: this.cutByReboot, peakRunning: this.peakRunning })
+      return
+    }
+    if (message.url === '/stand-in/silence') {
+      JsonBody.send(response, {})
+      setImmediate(() => this.silenceConnections())
+      return
+    }
+    const document = await JsonBody.read(message) as { pool: string, milliseconds: number }
+    if (message.url === '/stand-in/faults') {
+      this.faults = EndpointFaults.parse({ ...this.faults, ...document })
+      JsonBody.send(response, this.faults)
+      return
+    }
+    response.once('finish', () => { void this.reboot(document.pool, document.milliseconds) })
+    JsonBody.send(response, {})
+  }
+
+  private async _work (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const requestId = String(message.headers['samphireglade-request-id'] ?? '')
+    const refusal = this._refusal(message)
+    response.setHeader('samphireglade-request-id', requestId)
+    response.setHeader('samphireglade-running', String(this._running.size))
+    if (refusal) {
+      response.setHeader('samphireglade-refused', refusal)
+      message.resume()
+      JsonBody.send(response, { refused: refusal }, 503)
+      return
+    }
+    const entry = this._start(requestId, message)
+    const body = await this._readBody(message)
+    if (body === null) {
+      this._running.delete(requestId)
+      return
+    }
+    const workMilliseconds = Number(message.headers['x-work-milliseconds'] ?? this._options.workMilliseconds)
+    await delay(workMilliseconds + this.faults.slowMilliseconds)
+    entry.endedAt = Date.now()
+    this._running.delete(requestId)
+    if (!this._silent.has(message.socket)) this._answer(message, response, body)
+  }
+
+  /** Why a request is not run, or null. */
+  private _refusal (message: IncomingMessage): string | null {
+    const pool = message.headers['samphireglade-pool']
+    if (pool !== undefined && pool !== this._pool) return 'wrong-pool'
+    if (this._running.size >= this._options.slots) return 'full'
+    if (this._options.random.next() < this.faults.refusedPart) return 'unwilling'
+    return null
+  }
+
+  private _start (requestId: string, message: IncomingMessage): LedgerEntry {
+    const entry: LedgerEntry = {
+      requestId,
+      team: message.headers['samphireglade-team'] === undefined ? null : String(message.headers['samphireglade-team']),
+      pool: this._pool,
+      method: message.method ?? '',
+      path: message.url ?? '',
+      mark: String(message.headers['x-mark'] ?? ''),
+      startedAt: Date.now(),
+      endedAt: null
+    }
+    this.ledger.push(entry)
+    this._running.set(requestId, entry)
+    this.peakRunning = Math.max(this.peakRunning, this._running.size)
+    return entry
+  }
+
+  private async _readBody (message: IncomingMessage): Promise<Buffer | null> {
+    const chunks: Buffer[] = []
+    try {
+      for await (const chunk of message) chunks.push(chunk as Buffer)
+      return Buffer.concat(chunks)
+    } catch {
+      return null
+    }
+  }
+
+  private _answer (message: IncomingMessage, response: ServerResponse, body: Buffer): void {
+    const { random, virtualMachine } = this._options
+    if (response.destroyed) return
+    if (random.next() < this.faults.lostAnswerPart) {
+      message.socket.destroy()
+      return
+    }
+    if (random.next() < this.faults.failedPart) {
+      JsonBody.send(response, { error: 'failed' }, 500)
+      return
+    }
+    if (random.next() < this.faults.crossedPart) response.setHeader('samphireglade-request-id', 'another-request')
+    const answer = body.length > 0 ? body : Buffer.from(JSON.stringify({ virtualMachine, path: message.url }))
+    response.setHeader('content-length', answer.length)
+    response.setHeader('content-type', String(message.headers['content-type'] ?? 'application/json'))
+    if (random.next() < this.faults.truncatedPart) {
+      response.write(answer.subarray(0, Math.floor(answer.length / 2)))
+      setTimeout(() => message.socket.destroy(), 5)
+      return
+    }
+    response.end(answer)
+  }
+}
--- /dev/null
+++ b/stand-ins/platform-server.ts
@@ -0,0 +1,167 @@
+/**
+ * The platform's stand-in: log service, list of VMs, reboots. For development and tests only.
+ */
+import { once } from 'node:events'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { setTimeout as delay } from 'node:timers/promises'
+import polka from 'polka'
+import { request } from 'undici'
+import { JsonBody } from './json-body.js'
+import { PlatformFaults } from './platform-faults.js'
+import { PlatformLogStore } from './platform-log-store.js'
+
+/** A VM as the platform knows it. */
+interface PlatformMachine {
+  readonly id: string
+  /** Endpoint's address, or null for an entry VM. */
+  readonly address: { host: string, port: number } | null
+  state: 'live' | 'leaving'
+  /** Reboots by intent, each carried out once. */
+  readonly intents: Map<string, 'pending' | 'done'>
+}
+
+/** Serves the platform's interfaces over HTTP, with fault switches at `/faults`. */
+export class PlatformServer {
+  readonly log = new PlatformLogStore()
+  faults: PlatformFaults = PlatformFaults.parse({})
+  private readonly _machines = new Map<string, PlatformMachine>()
+  private readonly _history: { time: number, machines: { id: string, state: 'live' | 'leaving' }[] }[] = []
+  private readonly _server: Server
+
+  constructor () {
+    this._server = createServer()
+    const application = polka({ server: this._server, onError: (error, _message, response) => JsonBody.send(response, { error: String(error) }, 400) })
+    application.use((message, response, next) => { void this._applyFaults(message, response, next) })
+    application.post('/log/records', (message, response) => this._append(message, response))
+    application.get('/log/records', (message, response) => this._read(message, response))
+    application.get('/virtual-machines', (_message, response) => this._list(response))
+    application.post('/virtual-machines', (message, response) => this._register(message, response))
+    application.delete('/virtual-machines/:id', (message, response) => this._remove(message.params['id'] ?? '', response))
+    application.post('/virtual-machines/:id/reboot', (message, response) => this._reboot(message.params['id'] ?? '', message, response))
+    application.post('/faults', (message, response) => this._setFaults(message, response))
+    application.get('/statistics', (_message, response) => JsonBody.send(response, { appends: this.log.appends, nextOffset: this.log.nextOffset }))
+    const handle = application.handler as unknown as (message: IncomingMessage, response: ServerResponse) => void
+    this._server.on('request', (message, response) => { handle(message, response) })
+  }
+
+  /** Listens; port 0 takes any free one. Returns the port. */
+  async listen (host: string, port: number): Promise<number> {
+    this._server.listen(port, host)
+    await once(this._server, 'listening')
+    return (this._server.address() as AddressInfo).port
+  }
+
+  /** Closes all connections and stops. */
+  async close (): Promise<void> {
+    this._server.closeAllConnections()
+    this._server.close()
+    await once(this._server, 'close').catch(() => {})
+  }
+
+  /** Registers a VM. */
+  addMachine (id: string, address: { host: string, port: number } | null): void {
+    this._machines.set(id, { id, address, state: 'live', intents: new Map() })
+    this._remember()
+  }
+
+  /** Takes a VM off the list. */
+  removeMachine (id: string): void {
+    this._machines.delete(id)
+    this._remember()
+  }
+
+  private async _applyFaults (message: IncomingMessage, response: ServerResponse, next: () => void): Promise<void> {
+    if (message.url?.startsWith('/faults') || message.url?.startsWith('/statistics')) {
+      next()
+      return
+    }
+    if (this.faults.isDown) {
+      message.socket.destroy()
+      return
+    }
+    if (this.faults.slowMilliseconds > 0) await delay(this.faults.slowMilliseconds)
+    if (!response.destroyed) next()
+  }
+
+  private async _append (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { records } = await JsonBody.read(message) as { records: unknown[] }
+    const firstOffset = this.log.append(records)
+    this.log.retain(this.faults.retainedRecords)
+    if (this.faults.lostAppendAnswers > 0) {
+      this.faults = { ...this.faults, lostAppendAnswers: this.faults.lostAppendAnswers - 1 }
+      response.destroy()
+      return
+    }
+    JsonBody.send(response, { firstOffset })
+  }
+
+  private async _read (message: IncomingMessage & { query: Record<string, string> }, response: ServerResponse): Promise<void> {
+    const from = Number(message.query['from'])
+    const limit = Number(message.query['limit'])
+    const waitDeadline = Number(message.query['wait-deadline'])
+    if (this.log.nextOffset <= from && Date.now() < waitDeadline) {
+      const timer = new AbortController()
+      await Promise.race([this.log.nextAppend(), delay(waitDeadline - Date.now(), undefined, { signal: timer.signal }).catch(() => {})])
+      timer.abort()
+    }
+    if (this.faults.isDown || response.destroyed) {
+      response.destroy()
+      return
+    }
+    const { earliestOffset, nextOffset } = this.log
+    JsonBody.send(response, { earliestOffset, nextOffset, records: this.log.read(from, limit) })
+  }
+
+  private _list (response: ServerResponse): void {
+    const asOf = Date.now() - this.faults.listLagMilliseconds
+    const shown = this._history.findLast(entry => entry.time <= asOf)
+    JsonBody.send(response, { asOf, virtualMachines: shown?.machines ?? [] })
+  }
+
+  private async _register (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { id, address } = await JsonBody.read(message) as { id: string, address: { host: string, port: number } | null }
+    this.addMachine(id, address)
+    JsonBody.send(response, {})
+  }
+
+  private _remove (id: string, response: ServerResponse): void {
+    this.removeMachine(id)
+    JsonBody.send(response, {})
+  }
+
+  private async _reboot (id: string, message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { intentId, pool } = await JsonBody.read(message) as { intentId: string, pool: string }
+    const machine = this._machines.get(id)
+    if (!machine) {
+      JsonBody.send(response, { error: 'no such VM' }, 404)
+      return
+    }
+    if (!machine.intents.has(intentId)) {
+      machine.intents.set(intentId, 'pending')
+      void this._carryOut(machine, intentId, pool)
+    }
+    JsonBody.send(response, { state: machine.intents.get(intentId) })
+  }
+
+  private async _carryOut (machine: PlatformMachine, intentId: string, pool: string): Promise<void> {
+    if (this.faults.ignoresReboots || !machine.address) return
+    const { host, port } = machine.address
+    await request(`http://${host}:${port}/stand-in/reboot`, {
+      method: 'POST',
+      body: JSON.stringify({ pool, milliseconds: this.faults.rebootMilliseconds })
+    }).then(({ body }) => body.dump()).catch(() => {})
+    machine.intents.set(intentId, 'done')
+  }
+
+  private async _setFaults (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.faults = PlatformFaults.parse({ ...this.faults, ...await JsonBody.read(message) as object })
+    this.log.retain(this.faults.retainedRecords)
+    JsonBody.send(response, this.faults)
+  }
+
+  private _remember (): void {
+    const machines = [...this._machines.values()].map(({ id, state }) => ({ id, state }))
+    this._history.push({ time: Date.now(), machines })
+  }
+}
