--- a/src/state/log-writer-task.ts
+++ b/src/state/log-writer-task.ts
@@ -127,15 +127,17 @@
       deadline > now && this._keeper.decisionOf(record.id) === undefined)
   }
 
+  /** Waits until this process may append again by its part of the fleet's budget. */
   private async _awaitToken (signal: AbortSignal): Promise<void> {
-    const perSecond = FLEET_APPENDS_PER_SECOND / Math.max(1, this._keeper.state.members.size)
-    const now = this._clock.now()
-    this._tokens = Math.min(BURST_APPENDS, this._tokens + (now - this._refilledAt) / 1_000 * perSecond)
-    this._refilledAt = now
-    if (this._tokens >= 1) return
-    const wait = Math.ceil((1 - this._tokens) / perSecond * 1_000)
-    await this._clock.sleepUntil(now + wait, signal).catch(() => {})
-    await this._awaitToken(signal)
+    while (!signal.aborted) {
+      const perSecond = FLEET_APPENDS_PER_SECOND / Math.max(1, this._keeper.state.members.size)
+      const now = this._clock.now()
+      this._tokens = Math.min(BURST_APPENDS, this._tokens + (now - this._refilledAt) / 1_000 * perSecond)
+      this._refilledAt = now
+      if (this._tokens >= 1) return
+      const wait = Math.ceil((1 - this._tokens) / perSecond * 1_000)
+      await this._clock.sleepUntil(now + wait, signal).catch(() => {})
+    }
   }
 
   private _shedLessUrgent (purpose: AppendPurpose): boolean {
