Let limits follow the work entirely; make planned stops quick while the log is down

Cause: new tests over the wire showed that an idle entry VM kept one unit of a team's limit for good (5 of 6 usable at the other), and that a control process took over 10 s to stop while the log was down, because it gave back five leases one after the other. Change: an idle process keeps units only while nobody lacks any; leases end with the process's leave; giving grants back is bounded at 2 s. Ruled out: releasing the leases at once, which costs five appends where one settles all.

--- a/src/control/leased-task.ts
+++ b/src/control/leased-task.ts
@@ -25,8 +25,8 @@
 const COMMAND_TIMEOUT_MILLISECONDS = 3_000
 
 /**
- * Takes the lease when it is free, works step by step while it holds it, and gives it up
- * at a planned stop. Nothing that a step does relies on the lease alone: its commands
+ * Takes the lease when it is free and works step by step while it holds it. At a planned
+ * stop the lease ends with the process's leave, which one record settles for all. Nothing that a step does relies on the lease alone: its commands
  * carry the fencing token, and its calls to the platform are idempotent.
  */
 export abstract class LeasedTask extends Task {
@@ -48,7 +48,6 @@
       const lease = await this._acquire(signal)
       if (lease) await this._work(lease, signal)
     }
-    await this._release()
   }
 
   /** Submits a command and waits for its verdict; false if it was refused or isn't decided yet. */
@@ -99,11 +98,6 @@
     await this.submit({ kind: 'take-lease', name: this.lease, holder: self, expectedToken, deadline }, 'leases')
   }
 
-  private async _release (): Promise<void> {
-    const lease = this._own()
-    if (lease) await this.submit({ kind: 'release-lease', name: this.lease, token: lease.token }, 'leases')
-  }
-
   private _own (): Lease | undefined {
     const lease = this.parts.keeper.state.leases.get(this.lease)
     return lease && this._isOwn(lease) ? lease : undefined
--- a/src/entry/demand-grant-policy.ts
+++ b/src/entry/demand-grant-policy.ts
@@ -6,25 +6,28 @@
 import type { GrantSituation } from './grant-situation.js'
 
 /**
- * Every process keeps an even part of the limit at hand, so that a first request starts
- * without waiting for the log. Beyond that units go where work waits: from what is free,
- * or from a process with idle units straight to one that wants them.
+ * While nobody lacks units, every process keeps an even part of the limit at hand, so that
+ * a first request starts without waiting for the log. As soon as one does, units go where
+ * work waits: from what is free, or from a process with idle units straight to it.
  */
 export class DemandGrantPolicy extends GrantPolicy {
   override plan (situation: GrantSituation): GrantPlan {
     const { limit, granted, held, running, waiting } = situation
-    const excess = granted - limit
-    if (excess > 0) return { adjust: -this._cutBack(situation), pass: null }
-    const base = this._base(situation)
+    if (granted > limit) return { adjust: -this._cutBack(situation), pass: null }
     const free = limit - granted
-    const wanted = Math.max(running + waiting, base) - held
+    const wanted = Math.max(running + waiting, this._reserve(situation)) - held
     if (wanted > 0 && free > 0) return { adjust: Math.min(wanted, free), pass: null }
-    return { adjust: 0, pass: this._pass(situation, base) }
+    return { adjust: 0, pass: this._pass(situation) }
   }
 
-  /** Even part of the limit. */
-  private _base ({ limit, members }: GrantSituation): number {
-    return Math.floor(limit / Math.max(1, members))
+  /**
+   * Units kept without work: an even part while nobody lacks any, else one where the team
+   * had work lately and none where it had not, so that nothing of the limit lies unused.
+   */
+  private _reserve ({ limit, members, isActive, wantedByOthers }: GrantSituation): number {
+    const even = Math.floor(limit / Math.max(1, members))
+    if (wantedByOthers.size === 0) return even
+    return isActive ? Math.min(even, 1) : 0
   }
 
   /** After a lowered limit: idle units above this process's part of the new one. */
@@ -33,16 +36,12 @@
     return Math.max(0, held - Math.max(part, running))
   }
 
-  /**
-   * Idle units for the process that wants most. Others' want goes before one's own even
-   * part, of which one unit stays here so that the next request can start.
-   */
-  private _pass ({ held, running, waiting, wantedByOthers }: GrantSituation, base: number): GrantPlan['pass'] {
-    const kept = Math.min(base, 1)
-    const idle = held - Math.max(running + waiting, kept)
+  /** Idle units for the process that wants most. */
+  private _pass (situation: GrantSituation): GrantPlan['pass'] {
+    const { held, running, waiting, wantedByOthers } = situation
+    const idle = held - Math.max(running + waiting, this._reserve(situation))
     if (idle <= 0) return null
     const [neediest] = [...wantedByOthers].sort((left, right) => right[1] - left[1])
-    if (!neediest || neediest[1] <= 0) return null
-    return { member: neediest[0], units: Math.min(idle, neediest[1]) }
+    return neediest ? { member: neediest[0], units: Math.min(idle, neediest[1]) } : null
   }
 }
--- a/src/entry/grant-situation.ts
+++ b/src/entry/grant-situation.ts
@@ -15,6 +15,8 @@
   readonly running: number
   /** Requests waiting here. */
   readonly waiting: number
+  /** Whether the team had work here lately. */
+  readonly isActive: boolean
   /** Number of living entry processes, this one among them. */
   readonly members: number
   /** Units that other processes could use, by process. */
--- a/src/entry/grant-task.ts
+++ b/src/entry/grant-task.ts
@@ -21,6 +21,12 @@
 /** How long one change of grants is tried before it is looked at anew, in milliseconds. */
 const CHANGE_TIMEOUT_MILLISECONDS = 5_000
 
+/** Time for which a team counts as active after its last work here, in milliseconds. */
+const ACTIVE_MILLISECONDS = 1_000
+
+/** How long giving everything back at a planned stop may take, in milliseconds. */
+const GIVE_BACK_TIMEOUT_MILLISECONDS = 2_000
+
 /** A team's plan. */
 interface TeamPlan extends GrantPlan {
   readonly team: string
@@ -36,6 +42,7 @@
 export class GrantTask extends Task {
   override readonly name = 'grants'
   private _undecided: { command: Command, id: string } | null = null
+  private readonly _activeUntil = new Map<string, number>()
 
   constructor (
     private readonly _self: Holder,
@@ -72,13 +79,13 @@
     })
   }
 
-  private async _step (plans: TeamPlan[], signal: AbortSignal): Promise<void> {
+  private async _step (plans: TeamPlan[], signal: AbortSignal, timeout = CHANGE_TIMEOUT_MILLISECONDS): Promise<void> {
     const command = this._undecided?.command ?? this._commandFor(plans)
     if (!command) return
     this._withhold(command)
     const id = this._undecided?.id ?? this._identifiers.next()
     this._undecided = { command, id }
-    const deadline = this._clock.now() + CHANGE_TIMEOUT_MILLISECONDS
+    const deadline = this._clock.now() + timeout
     const result = await this._submitter.submit(command, { id, purpose: 'grants', deadline, signal })
     // Only a verdict ends the withholding. Until then the same record is written again.
     if (result.kind === 'unknown' || result.kind === 'shed') return
@@ -125,12 +132,19 @@
         held: this._ledger.held(team),
         running: this._ledger.running(team),
         waiting: waiting.get(team) ?? 0,
+        isActive: this._isActive(team, waiting.get(team) ?? 0),
         members,
         wantedByOthers: this._wantedBy(others, team)
       })
     }))
   }
 
+  private _isActive (team: string, waiting: number): boolean {
+    const now = this._clock.now()
+    if (waiting + this._ledger.running(team) > 0) this._activeUntil.set(team, now + ACTIVE_MILLISECONDS)
+    return (this._activeUntil.get(team) ?? 0) > now
+  }
+
   private _wantedBy (others: readonly MemberEntry[], team: string): Map<string, number> {
     const wanted = new Map<string, number>()
     for (const entry of others) {
@@ -153,10 +167,10 @@
   /** At a planned stop nothing runs any more, and the others can use the units at once. */
   private async _giveAllBack (): Promise<void> {
     const never = new AbortController().signal
-    if (this._undecided) await this._step([], never)
+    if (this._undecided) await this._step([], never, GIVE_BACK_TIMEOUT_MILLISECONDS)
     const plans = [...this._keeper.state.teams.keys()]
       .map(team => ({ team, adjust: -this._ledger.held(team), pass: null }))
       .filter(plan => plan.adjust < 0 && this._ledger.running(plan.team) === 0)
-    await this._step(plans, never)
+    await this._step(plans, never, GIVE_BACK_TIMEOUT_MILLISECONDS)
   }
 }
--- a/src/peers/member-task.ts
+++ b/src/peers/member-task.ts
@@ -12,7 +12,7 @@
 const JOIN_TIMEOUT_MILLISECONDS = 5_000
 
 /** How long leaving may take, in milliseconds. */
-const LEAVE_TIMEOUT_MILLISECONDS = 3_000
+const LEAVE_TIMEOUT_MILLISECONDS = 2_000
 
 /** Pause between attempts to join, in milliseconds. */
 const RETRY_MILLISECONDS = 500
--- a/tests/caller-interface.test.ts
+++ b/tests/caller-interface.test.ts
@@ -110,7 +110,7 @@
   it('whose chunked body grows too large is refused while it is sent', async () => {
     const before = endpoint.ledger.length
     const chunk = `${(50_000).toString(16)}\r\n${'z'.repeat(50_000)}\r\n`
-    const head = `POST /queues/open/ HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n`
+    const head = 'POST /queues/open/ HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
     await fleet.change('PUT', '/queues/open', { pool: 'work', openToAll: true, isIdempotent: true, maximumBodyBytes: 60_000 })
     const answer = await raw(head, chunk, chunk, chunk)
     expect(answer).toMatch(/^HTTP\/1\.1 413 [\s\S]*"outcome":"not-run"/)
--- /dev/null
+++ b/tests/endpoint-faults.test.ts
@@ -0,0 +1,154 @@
+/**
+ * What callers see when endpoints and connections fail.
+ */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { request } from 'undici'
+import type { EndpointFaults } from '../stand-ins/endpoint-faults.js'
+import { WireFleet } from './support/wire-fleet.js'
+
+let fleet: WireFleet
+let key: string
+let base: string
+
+beforeEach(async () => {
+  fleet = new WireFleet()
+  await fleet.start()
+  await fleet.addEndpoint('a-1', 'work')
+  await fleet.addEndpoint('b-1', 'work')
+  await fleet.addProcess('control', 'a')
+  const entry = await fleet.addProcess('entry', 'a')
+  base = `http://127.0.0.1:${entry.address.port}`
+  await fleet.until(() => entry.tree.keeper.state.members.size === 2, 'both joined')
+  key = await fleet.deploy('work', 'team', 16)
+})
+
+afterEach(async () => { await fleet.close() })
+
+async function send (method: 'PUT' | 'POST', mark: string, headers: Record<string, string> = {}) {
+  try {
+    const response = await request(`${base}/queues/work/x`, {
+      method, headers: { authorization: `Bearer ${key}`, 'x-mark': mark, ...headers }, body: mark
+    })
+    const text = await response.body.text()
+    return { status: response.statusCode, text, outcome: response.statusCode === 200 ? null : JSON.parse(text).outcome as string }
+  } catch (error) {
+    return { status: 0, text: (error as Error).message, outcome: null }
+  }
+}
+
+function runs (mark: string): number {
+  return [...fleet.endpoints.values()].flatMap(({ ledger }) => ledger).filter(entry => entry.mark === mark).length
+}
+
+function setFaults (faults: Partial<EndpointFaults>, ...names: string[]): void {
+  for (const [name, endpoint] of fleet.endpoints) {
+    if (names.length === 0 || names.includes(name)) endpoint.faults = { ...endpoint.faults, ...faults }
+  }
+}
+
+describe('with one endpoint at fault', () => {
+  const faults: [string, Partial<EndpointFaults>][] = [
+    ['crossed answers', { crossedPart: 1 }],
+    ['truncated answers', { truncatedPart: 1 }],
+    ['lost answers', { lostAnswerPart: 1 }],
+    ['refusals', { refusedPart: 1 }],
+    ['broken connections', { isDown: true }]
+  ]
+  it.each(faults)('%s: repeatable requests are answered in full by the other', async (_name, fault) => {
+    setFaults(fault, 'a-1')
+    const marks = Array.from({ length: 4 }, (_, index) => `mark-${index}`)
+    for (const mark of marks) expect(await send('PUT', mark)).toMatchObject({ status: 200, text: mark })
+  })
+})
+
+describe('with all endpoints at fault, a non-idempotent request', () => {
+  const unknowns: [string, Partial<EndpointFaults>][] = [
+    ['crossed answers', { crossedPart: 1 }],
+    ['truncated answers', { truncatedPart: 1 }],
+    ['lost answers', { lostAnswerPart: 1 }]
+  ]
+  it.each(unknowns)('%s: is told to be unknown, and ran once', async (_name, fault) => {
+    setFaults(fault)
+    expect(await send('POST', 'posting')).toMatchObject({ status: 502, outcome: 'unknown' })
+    expect(runs('posting')).toBe(1)
+  })
+
+  it('broken connections: is never told to have an answer, and ran at most once', async () => {
+    setFaults({ isDown: true })
+    const answer = await send('POST', 'posting')
+    expect(answer.status).toBeGreaterThanOrEqual(500)
+    expect(runs('posting')).toBe(0)
+  })
+
+  it('refusals: is told to be not run, and ran nowhere', async () => {
+    setFaults({ refusedPart: 1 })
+    const deadline = String(Date.now() + 1_000)
+    expect(await send('POST', 'posting', { 'samphireglade-deadline': deadline })).toMatchObject({ outcome: 'not-run' })
+    expect(runs('posting')).toBe(0)
+  })
+
+  it('a repeat with its idempotency key after a lost answer doesn\'t run it again', async () => {
+    setFaults({ lostAnswerPart: 1 })
+    expect(await send('POST', 'posting', { 'idempotency-key': 'k' })).toMatchObject({ outcome: 'unknown' })
+    setFaults({ lostAnswerPart: 0 })
+    expect(await send('POST', 'posting', { 'idempotency-key': 'k' })).toMatchObject({ status: 409, outcome: 'unknown' })
+    expect(runs('posting')).toBe(1)
+  })
+
+  it('a repeat with its idempotency key after a true refusal runs', async () => {
+    setFaults({ refusedPart: 1 })
+    const deadline = String(Date.now() + 1_000)
+    expect(await send('POST', 'posting', { 'idempotency-key': 'k', 'samphireglade-deadline': deadline })).toMatchObject({ outcome: 'not-run' })
+    setFaults({ refusedPart: 0 })
+    expect(await send('POST', 'posting', { 'idempotency-key': 'k' })).toMatchObject({ status: 200, text: 'posting' })
+    expect(runs('posting')).toBe(1)
+  })
+})
+
+describe('silent connections', () => {
+  it('are found by a probe; repeatable requests on them are answered over new ones', async () => {
+    for (let index = 0; index < 4; index++) await send('PUT', `warm-${index}`)
+    for (const endpoint of fleet.endpoints.values()) endpoint.silenceConnections()
+    const answers = await Promise.all(Array.from({ length: 8 }, (_, index) => send('PUT', `mark-${index}`)))
+    expect(answers.map(answer => answer.status)).toEqual(Array.from({ length: 8 }, () => 200))
+  })
+
+  it('leave a non-idempotent request unknown, never run twice', async () => {
+    for (let index = 0; index < 4; index++) await send('PUT', `warm-${index}`)
+    for (const endpoint of fleet.endpoints.values()) endpoint.silenceConnections()
+    const answer = await send('POST', 'posting')
+    expect(answer.outcome).toBe('unknown')
+    expect(runs('posting')).toBeLessThanOrEqual(1)
+  })
+})
+
+describe('a planned stop under load', () => {
+  it('cuts nothing: every request sent before is answered, and the grants come back', async () => {
+    setFaults({ slowMilliseconds: 300 })
+    const entry = fleet.processes.get('entry-a')
+    const control = fleet.processes.get('control-a')
+    const answers = Array.from({ length: 12 }, (_, index) => send('POST', `mark-${index}`))
+    await fleet.until(() => [...fleet.endpoints.values()].reduce((sum, endpoint) => sum + endpoint.running, 0) === 12, 'all running')
+    await entry?.stop()
+    expect((await Promise.all(answers)).every(answer => answer.status === 200)).toBe(true)
+    await fleet.until(() => control?.tree.keeper.state.members.size === 1, 'left')
+    expect(control?.tree.keeper.state.grantedUnits('team')).toBe(0)
+  })
+})
+
+describe('callers who leave', () => {
+  it('have their waiting requests taken out of the queue', async () => {
+    setFaults({ slowMilliseconds: 300 })
+    const running = Array.from({ length: 16 }, (_, index) => send('POST', `running-${index}`))
+    await fleet.until(() => [...fleet.endpoints.values()].reduce((sum, endpoint) => sum + endpoint.running, 0) === 16, 'all slots taken')
+    const gone = new AbortController()
+    const left = request(`${base}/queues/work/x`, { method: 'POST', headers: { authorization: `Bearer ${key}`, 'x-mark': 'left' }, body: 'x', signal: gone.signal }).catch(() => {})
+    const metrics = fleet.processes.get('entry-a')?.metrics
+    await fleet.until(() => metrics?.value('requests.accepted') === 17, 'arrived')
+    gone.abort()
+    await left
+    await Promise.all(running)
+    await fleet.until(() => (metrics?.value('requests.refused') ?? 0) > 0, 'taken out')
+    expect(runs('left')).toBe(0)
+  })
+})
