Measure the cost of the path over a bare client

Change: the benchmark runner and the dispatch benchmark; the demo's layout takes any number of entry VMs.

--- /dev/null
+++ b/benchmarks/run-benchmarks.ts
@@ -0,0 +1,28 @@
+/**
+ * Runs benchmarks: `npm run benchmark -- [NAME…]`; without names all of them.
+ */
+import Table from 'cli-table3'
+import type { Benchmark } from './benchmark.js'
+import { DispatchBenchmark } from './dispatch-benchmark.js'
+
+const BENCHMARKS: readonly Benchmark[] = [new DispatchBenchmark()]
+
+function format (value: number | null): string {
+  if (value === null) return ''
+  return Number.isInteger(value) ? String(value) : value.toPrecision(4)
+}
+
+const names = process.argv.slice(2)
+const unknown = names.filter(name => !BENCHMARKS.some(benchmark => benchmark.name === name))
+if (unknown.length > 0) {
+  console.error(`no such benchmark: ${unknown.join(', ')}; there are: ${BENCHMARKS.map(({ name }) => name).join(', ')}`)
+  process.exit(2)
+}
+for (const benchmark of BENCHMARKS) {
+  if (names.length > 0 && !names.includes(benchmark.name)) continue
+  console.log(`${benchmark.name}: ${benchmark.summary}`)
+  const table = new Table({ head: ['figure', 'value', 'naive way', 'target'], style: { head: [], border: [] } })
+  for (const { figure, value, naive, target } of await benchmark.run()) table.push([figure, format(value), format(naive), target])
+  console.log(table.toString())
+}
+process.exit(0)
--- a/demo/demo-fleet.ts
+++ b/demo/demo-fleet.ts
@@ -24,42 +24,34 @@
   readonly client: AdministrationClient
   readonly machines: readonly VirtualMachine[]
 
-  constructor (private readonly _layout: DemoLayout, private readonly _processes: DemoProcesses, private readonly _deployment: string) {
-    this.client = new AdministrationClient(_layout.zones.map(zone => `http://127.0.0.1:${zone.administration}`), _layout.token)
+  constructor (private readonly _layout: DemoLayout, private readonly _processes: DemoProcesses, private readonly _deployment: string, private readonly _workMilliseconds = 15) {
+    this.client = new AdministrationClient(_layout.sites.map(site => `http://127.0.0.1:${site.administration}`), _layout.token)
     const document = parse(readFileSync(_deployment, 'utf8'))
     this.machines = z.array(VirtualMachine).parse(document['vms'])
   }
 
   /** Starts everything and waits until it is ready. */
   async start (): Promise<void> {
-    const { platformPort, zones } = this._layout
+    const { platformPort, sites } = this._layout
     this._processes.start('platform', 'stand-ins/platform.js', ['127.0.0.1', String(platformPort)])
     await this._untilAnswers(`http://127.0.0.1:${platformPort}/statistics`)
     for (const { id, pool, address } of this.machines) {
-      this._processes.start(id, 'stand-ins/endpoint.js', [address.host, String(address.port), id, pool, '15'])
+      this._processes.start(id, 'stand-ins/endpoint.js', [address.host, String(address.port), id, pool, String(this._workMilliseconds)])
       await this._register(id, address)
     }
-    for (const zone of zones) {
-      await this._register(`entry-vm-${zone.name}`, null)
-      this.startZone(zone)
+    for (const site of sites) {
+      await this._register(`entry-vm-${site.name}`, null)
+      this._startSite(site)
     }
-    for (const zone of zones) {
-      await this._untilAnswers(`http://127.0.0.1:${zone.callers}/readyz`)
-      await this._untilAnswers(`http://127.0.0.1:${zone.administration}/readyz`)
+    for (const site of sites) {
+      await this._untilAnswers(`http://127.0.0.1:${site.callers}/readyz`)
+      await this._untilAnswers(`http://127.0.0.1:${site.administration}/readyz`)
     }
   }
 
-  /** Starts the daemons of one zone. */
-  startZone (zone: DemoLayout['zones'][number]): void {
-    const entry = this._processes.write(`entry-${zone.name}.toml`, this._layout.entrySettings(zone))
-    const control = this._processes.write(`control-${zone.name}.toml`, this._layout.controlSettings(zone))
-    this._processes.start(`entry-${zone.name}`, 'src/main/samphireglade-entry.js', ['--settings', entry])
-    this._processes.start(`control-${zone.name}`, 'src/main/samphireglade-control.js', ['--settings', control])
-  }
-
   /** Publishes the deployment with the operators' program. */
   async publish (): Promise<void> {
-    const apply = this._processes.start('apply', 'demo/apply-deployment.js', [this._deployment, ...this._layout.zones.map(zone => String(zone.administration)), this._layout.token])
+    const apply = this._processes.start('apply', 'demo/apply-deployment.js', [this._deployment, ...this._layout.sites.map(site => String(site.administration)), this._layout.token])
     await new Promise<void>((resolve, reject) => apply.once('exit', code => code === 0 ? resolve() : reject(new Error(`apply ended with ${code}`))))
   }
 
@@ -98,6 +90,14 @@
     }
   }
 
+  /** Starts the daemons of one entry VM. */
+  private _startSite (site: DemoLayout['sites'][number]): void {
+    const entry = this._processes.write(`entry-${site.name}.toml`, this._layout.entrySettings(site))
+    const control = this._processes.write(`control-${site.name}.toml`, this._layout.controlSettings(site))
+    this._processes.start(`entry-${site.name}`, 'src/main/samphireglade-entry.js', ['--settings', entry])
+    this._processes.start(`control-${site.name}`, 'src/main/samphireglade-control.js', ['--settings', control])
+  }
+
   private async _register (id: string, address: VirtualMachine['address'] | null): Promise<void> {
     const { body } = await request(`http://127.0.0.1:${this._layout.platformPort}/virtual-machines`, { method: 'POST', body: JSON.stringify({ id, address }) })
     await body.dump()
--- a/demo/run-demo.ts
+++ b/demo/run-demo.ts
@@ -32,10 +32,10 @@
     await body.dump()
     return statusCode
   }
-  for (const zone of layout.zones) report.demand(await statusOf(zone.callers) === 200, `a granted key didn't open zone ${zone.name}`)
+  for (const zone of layout.sites) report.demand(await statusOf(zone.callers) === 200, `a granted key didn't open zone ${zone.name}`)
   const { milliseconds } = await fleet.change('DELETE', `/keys/${id}`)
   report.note(`key withdrawn everywhere after ${milliseconds} ms`)
-  for (const zone of layout.zones) report.demand(await statusOf(zone.callers) === 401, `a withdrawn key still opens zone ${zone.name}`)
+  for (const zone of layout.sites) report.demand(await statusOf(zone.callers) === 401, `a withdrawn key still opens zone ${zone.name}`)
 }
 
 async function switchPreset (fleet: DemoFleet, report: DemoReport): Promise<void> {
@@ -70,12 +70,12 @@
 }
 
 async function restartEntry (fleet: DemoFleet, layout: DemoLayout, processes: DemoProcesses, traffic: DemoTraffic, report: DemoReport): Promise<void> {
-  const [first, ...others] = layout.zones
+  const [first, ...others] = layout.sites
   if (!first) return
   // The balancer takes it out of its list when /readyz fails; the callers here are told.
   const stopping = processes.stop(`entry-${first.name}`)
   await delay(200)
-  traffic.use(others.map(zone => zone.callers))
+  traffic.use(others.map(site => site.callers))
   report.demand(await stopping === 0, 'the entry daemon didn\'t stop cleanly')
   report.note(`entry-${first.name} stopped under load`)
 }
@@ -95,7 +95,7 @@
       { team: 'austin-schools', ...await grantKey(fleet, 'austin-schools') },
       { team: 'gulf-clinics', ...await grantKey(fleet, 'gulf-clinics') }
     ]
-    const traffic = new DemoTraffic(layout.zones.map(zone => zone.callers))
+    const traffic = new DemoTraffic(layout.sites.map(site => site.callers))
     const running = traffic.run(callers, WORKERS)
     await withdrawKey(fleet, layout, report)
     await switchPreset(fleet, report)
@@ -113,11 +113,11 @@
 
 async function keep (fleet: DemoFleet, layout: DemoLayout): Promise<number> {
   const { key } = await grantKey(fleet, 'austin-schools')
-  const [zone] = layout.zones
+  const [site] = layout.sites
   console.log('running until interrupted (Ctrl-C); try:')
-  console.log(`  curl -i -H 'Authorization: Bearer ${key}' http://127.0.0.1:${zone?.callers}/queues/balances/check`)
+  console.log(`  curl -i -H 'Authorization: Bearer ${key}' http://127.0.0.1:${site?.callers}/queues/balances/check`)
   console.log(`  export SAMPHIREGLADE_TOKEN=${layout.token}`)
-  console.log(`  node dist/src/main/samphireglade.js --server http://127.0.0.1:${zone?.administration} state`)
+  console.log(`  node dist/src/main/samphireglade.js --server http://127.0.0.1:${site?.administration} state`)
   await new Promise<void>(resolve => process.once('SIGINT', () => resolve()))
   return 0
 }
