Pace peers by work and fleet size; charge slot time only; admit what can be served

Cause: (1) each member sent 13 KB/s idle at 8 members and 52 KB/s at 32, above the 23 KB/s budget: heartbeats every 250 ms carried whole member records and asked every neighbour for the same accounts. (2) Time spent looking for a free endpoint was charged as slot time, so in a rush teams with short requests were put back for seconds. (3) A process counted its own demand at once and the others' late, saw itself ahead and admitted twice what it could serve. Change: accounts without what the log knows, asked for at one neighbour at a time, paced by work and size; slot time counts from the endpoint's acceptance, with a bounded lead; one's own demand is followed with the others' delay; room for three mean service times is asked for at admission.

--- /dev/null
+++ b/benchmarks/in-force-benchmark.ts
@@ -0,0 +1,68 @@
+/**
+ * Time from an operator's change until it is in force everywhere.
+ */
+import { setTimeout as delay } from 'node:timers/promises'
+import { WireFleet } from '../tests/support/wire-fleet.js'
+import { Benchmark } from './benchmark.js'
+import { LatencyRecorder } from './latency-recorder.js'
+import type { Row } from './row.js'
+
+/** Changes measured in each case. */
+const CHANGES = 40
+
+/** Entry VMs, as today. */
+const ENTRIES = 8
+
+/** Eight entry VMs, each asked directly what it has, with and without their own path to the platform. */
+export class InForceBenchmark extends Benchmark {
+  override readonly name = 'in-force'
+  override readonly summary = 'time until a change is in force on 8 entry VMs, readiness of a new VM, recovery after the log'
+
+  override async run (): Promise<Row[]> {
+    return [...await this._measure(false), ...await this._measure(true)]
+  }
+
+  private async _measure (isCut: boolean): Promise<Row[]> {
+    const fleet = new WireFleet()
+    await fleet.start()
+    await fleet.addProcess('control', 'a')
+    // Nothing listens at this platform address.
+    const options = isCut ? { platformPort: 1 } : {}
+    for (let index = 0; index < ENTRIES; index++) await fleet.addProcess('entry', 'abc'[index % 3] ?? 'a', { ...options, id: `entry-${index}` })
+    await fleet.until(() => [...fleet.processes.values()].every(({ tree }) => tree.keeper.state.members.size === ENTRIES + 1), 'all joined')
+    const label = isCut ? 'log reached by one process' : 'log reached by all'
+    const recorder = new LatencyRecorder()
+    for (let index = 0; index < CHANGES; index++) await recorder.time(() => this._change(fleet, index))
+    const rows: Row[] = [
+      { figure: `${label}: in force everywhere, median (ms)`, value: recorder.percentile(50), naive: null, target: '20 s' },
+      { figure: `${label}: in force everywhere, worst (ms)`, value: recorder.percentile(100), naive: null, target: '20 s' }
+    ]
+    if (!isCut) rows.push(...await this._newMember(fleet), ...await this._recovery(fleet))
+    await fleet.close()
+    return rows
+  }
+
+  private async _change (fleet: WireFleet, index: number): Promise<void> {
+    const result = await fleet.client.call({ method: 'PUT', path: `/teams/team-${index}`, document: { share: 1, upperLimit: 1 } })
+    if (result.isLeft()) throw result.extract()
+    while (![...fleet.processes.values()].every(({ tree }) => tree.keeper.state.teams.has(`team-${index}`))) await delay(1)
+  }
+
+  private async _newMember (fleet: WireFleet): Promise<Row[]> {
+    const recorder = new LatencyRecorder()
+    await recorder.time(async () => {
+      const member = await fleet.addProcess('entry', 'a', { id: 'entry-late' })
+      while (member.tree.keeper.freshAt === 0) await delay(1)
+    })
+    return [{ figure: 'a new VM has the newest state (ms)', value: recorder.percentile(100), naive: null, target: '' }]
+  }
+
+  private async _recovery (fleet: WireFleet): Promise<Row[]> {
+    fleet.platform.faults = { ...fleet.platform.faults, isDown: true }
+    await delay(5_000)
+    fleet.platform.faults = { ...fleet.platform.faults, isDown: false }
+    const recorder = new LatencyRecorder()
+    await recorder.time(() => this._change(fleet, CHANGES))
+    return [{ figure: 'after 5 s without the log: a change in force everywhere (ms)', value: recorder.percentile(100), naive: null, target: '20 s' }]
+  }
+}
--- a/benchmarks/run-benchmarks.ts
+++ b/benchmarks/run-benchmarks.ts
@@ -4,8 +4,20 @@
 import Table from 'cli-table3'
 import type { Benchmark } from './benchmark.js'
 import { DispatchBenchmark } from './dispatch-benchmark.js'
+import { GoodputBenchmark } from './goodput-benchmark.js'
+import { InForceBenchmark } from './in-force-benchmark.js'
+import { MemberCostBenchmark } from './member-cost-benchmark.js'
+import { SharesBenchmark } from './shares-benchmark.js'
+import { StateSizeBenchmark } from './state-size-benchmark.js'
 
-const BENCHMARKS: readonly Benchmark[] = [new DispatchBenchmark()]
+const BENCHMARKS: readonly Benchmark[] = [
+  new DispatchBenchmark(),
+  new SharesBenchmark(),
+  new GoodputBenchmark(),
+  new InForceBenchmark(),
+  new MemberCostBenchmark(),
+  new StateSizeBenchmark()
+]
 
 function format (value: number | null): string {
   if (value === null) return ''
--- /dev/null
+++ b/benchmarks/state-size-benchmark.ts
@@ -0,0 +1,93 @@
+/**
+ * What the state costs at growing sizes of the fleet.
+ */
+import { FleetSnapshot } from '../src/schemas/fleet-snapshot.js'
+import { LogRecord } from '../src/schemas/log-record.js'
+import { Pool } from '../src/schemas/pool.js'
+import { FleetState } from '../src/state/fleet-state.js'
+import { RecordFold } from '../src/state/record-fold.js'
+import { SnapshotCodec } from '../src/state/snapshot-codec.js'
+import { Benchmark } from './benchmark.js'
+import type { Row } from './row.js'
+
+/** Fleet sizes in VMs: today's, twenty times that, and the size aimed for. */
+const SIZES = [35, 700, 6_900]
+
+/** Pools and teams at the size aimed for. */
+const POOLS = 32
+const TEAMS = 87
+
+/** Changes folded, more than the fold keeps decisions of. */
+const CHANGES = 8_000
+
+/** Folds a whole configuration at each size, and takes and loads its snapshot. */
+export class StateSizeBenchmark extends Benchmark {
+  override readonly name = 'state-size'
+  override readonly summary = 'memory, snapshot size and times of the state against the number of VMs'
+
+  override async run (): Promise<Row[]> {
+    return SIZES.flatMap(size => this._measure(size))
+  }
+
+  private _measure (size: number): Row[] {
+    const before = this._heap()
+    const { state, recordMicroseconds } = this._fold(size)
+    const heapBytes = this._heap() - before
+
+    const codec = new SnapshotCodec()
+    const snapshotStartedAt = performance.now()
+    const chunks = codec.split(state.toSnapshot(), 'snapshot')
+    const snapshotMilliseconds = performance.now() - snapshotStartedAt
+    const loadStartedAt = performance.now()
+    const loaded = FleetState.fromSnapshot(codec.join(chunks).extract() as FleetSnapshot)
+    const loadMilliseconds = performance.now() - loadStartedAt
+    if (loaded.virtualMachines.size !== size) throw new Error('snapshot lost VMs')
+    const bytes = chunks.reduce((sum, chunk) => sum + chunk.data.length, 0)
+    const row = (figure: string, value: number, target = ''): Row => ({ figure: `${size} VMs: ${figure}`, value, naive: null, target })
+    return [
+      row('heap of the state (MB)', heapBytes / 1e6, '64 MB a node'),
+      row('snapshot (KB)', bytes / 1e3),
+      row('snapshot written in (ms)', snapshotMilliseconds),
+      row('snapshot loaded in (ms)', loadMilliseconds),
+      row('one record folded in (µs)', recordMicroseconds)
+    ]
+  }
+
+  private _fold (size: number): { state: FleetState, recordMicroseconds: number } {
+    const records = this._records(size).map(record => JSON.stringify(record))
+    const startedAt = performance.now()
+    const fold = new RecordFold(new FleetState())
+    records.forEach((text, index) => fold.fold(index + 1, LogRecord.parse(JSON.parse(text))))
+    return { state: fold.state, recordMicroseconds: (performance.now() - startedAt) * 1e3 / records.length }
+  }
+
+  private _records (size: number): LogRecord[] {
+    const author = { member: 'operator', incarnation: '1' }
+    const bodies: LogRecord['body'][] = [
+      ...Array.from({ length: POOLS }, (_, index) => ({ kind: 'put-pool' as const, value: Pool.parse({ name: `pool-${index}` }), expectedVersion: 0 })),
+      ...Array.from({ length: TEAMS }, (_, index) => ({ kind: 'put-team' as const, value: { name: `team-${index}`, share: 1, upperLimit: 100 }, expectedVersion: 0 })),
+      ...Array.from({ length: size }, (_, index) => ({
+        kind: 'put-virtual-machine' as const,
+        value: {
+          id: `vm-${index}`,
+          pool: `pool-${index % POOLS}`,
+          availabilityZone: `zone-${index % 7}`,
+          rack: `rack-${Math.floor(index / 4)}`,
+          address: { host: `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}`, port: 8_080 }
+        },
+        expectedVersion: 0
+      }))
+    ]
+    // Changes of teams fill the decisions that are kept.
+    for (let index = bodies.length; index < CHANGES; index++) {
+      bodies.push({ kind: 'withdraw-key', keyId: `key-${index}` })
+    }
+    return bodies.map((body, index) => ({ id: `2f0c4b1e-0000-4000-8000-${String(index).padStart(12, '0')}`, author, time: 1_700_000_000_000 + index, body }))
+  }
+
+  /** Heap in use after collection; needs `--expose-gc`, which the benchmark script sets. */
+  private _heap (): number {
+    globalThis.gc?.()
+    return process.memoryUsage().heapUsed
+  }
+}
--- a/src/control/absence-task.ts
+++ b/src/control/absence-task.ts
@@ -61,7 +61,7 @@
   private _suspicions (): Map<string, number> {
     const suspicions = new Map<string, number>()
     for (const entry of this._membership.livingEntries()) {
-      for (const id of entry.suspectedVirtualMachines) suspicions.set(id, (suspicions.get(id) ?? 0) + 1)
+      for (const id of entry.suspectedVirtualMachines ?? []) suspicions.set(id, (suspicions.get(id) ?? 0) + 1)
     }
     return suspicions
   }
--- a/src/control/change-progress.ts
+++ b/src/control/change-progress.ts
@@ -4,9 +4,6 @@
 import type { Membership } from '../peers/membership.js'
 import type { FleetState } from '../state/fleet-state.js'
 
-/** Silence after which a process's last word doesn't count for the present, in milliseconds. */
-const SILENCE_MILLISECONDS = 3_000
-
 /** Names of the entry processes by what is known of them. */
 interface Progress {
   readonly inForceOn: string[]
@@ -27,9 +24,9 @@
     for (const member of state.members.values()) {
       if (member.role !== 'entry') continue
       const entry = this._membership.entryOf(member.id)
-      const isHeard = entry?.member.incarnation === member.incarnation && this._membership.heardAt(member.id) >= now - SILENCE_MILLISECONDS
+      const isHeard = entry !== undefined && this._membership.heardAt(member.id) >= now - this._membership.pace.silenceMilliseconds
       // A process never goes back, so its word that it had the change holds also after it fell silent.
-      if (entry && entry.member.incarnation === member.incarnation && entry.offset >= offset) inForceOn.push(member.id)
+      if (entry && entry.offset >= offset) inForceOn.push(member.id)
       else if (isHeard) notYetOn.push(member.id)
       else notHeardFrom.push(member.id)
     }
--- a/src/control/operation-task.ts
+++ b/src/control/operation-task.ts
@@ -10,9 +10,6 @@
 import type { ControlParts } from './control-parts.js'
 import { LeasedTask } from './leased-task.js'
 
-/** Silence after which an entry process's account no longer speaks for it, in milliseconds. */
-const SILENCE_MILLISECONDS = 1_500
-
 /** Limit on one call to the platform, in milliseconds. */
 const PLATFORM_TIMEOUT_MILLISECONDS = 2_000
 
@@ -23,7 +20,7 @@
 export class OperationTask extends LeasedTask {
   override readonly name = 'operations'
   protected override readonly lease = 'operations'
-  private readonly _judgement = new DrainJudgement(SILENCE_MILLISECONDS)
+  private readonly _judgement = new DrainJudgement()
 
   constructor (
     parts: ControlParts,
--- a/src/entry/fair-share-queue.ts
+++ b/src/entry/fair-share-queue.ts
@@ -18,6 +18,15 @@
   readonly run: RunFunction
 }
 
+/**
+ * Most slot time, for each unit of weight, by which a team may be ahead of the others, in
+ * milliseconds. Bounds how long a team waits for what it once had too much of.
+ */
+const MAXIMUM_LEAD_MILLISECONDS = 2_000
+
+/** Smallest weight that counts. */
+const MINIMUM_WEIGHT = 1e-3
+
 /** What one team has waiting and has had. */
 class TeamQueue {
   waiting: Waiting[] = []
@@ -97,7 +106,9 @@
   /** Adds slot time in milliseconds to a team's account; negative to correct it. */
   charge (team: string | null, cost: number): void {
     const queue = this._teams.get(team)
-    if (queue) queue.virtualTime += cost / Math.max(this._weight(team), 1e-6)
+    if (!queue) return
+    const next = queue.virtualTime + cost / Math.max(this._weight(team), MINIMUM_WEIGHT)
+    queue.virtualTime = Math.min(next, this._clock + MAXIMUM_LEAD_MILLISECONDS)
   }
 
   /** Takes a waiting request out, if it still waits. */
--- a/src/entry/grant-task.ts
+++ b/src/entry/grant-task.ts
@@ -2,6 +2,7 @@
  * Moves units of upper limits to where the work is.
  */
 import type { Metrics } from '../observability/metrics.js'
+import type { Account } from '../peers/account.js'
 import type { Command } from '../schemas/command.js'
 import type { Holder } from '../schemas/holder.js'
 import type { MemberEntry } from '../schemas/member-entry.js'
@@ -68,7 +69,7 @@
   }
 
   /** Units that stand idle here and units that waiting work could use, for the others to see. */
-  uses (): MemberEntry['grantUses'] {
+  uses (): Account['grantUses'] {
     const waiting = this._waitingByTeam()
     return [...this._keeper.state.teams.keys()].flatMap(team => {
       const usable = this._ledger.usable(team)
@@ -148,8 +149,8 @@
   private _wantedBy (others: readonly MemberEntry[], team: string): Map<string, number> {
     const wanted = new Map<string, number>()
     for (const entry of others) {
-      const use = entry.grantUses.find(candidate => candidate.team === team)
-      if (use && use.wanted > 0) wanted.set(entry.member.id, use.wanted)
+      const use = entry.grantUses?.find(candidate => candidate.team === team)
+      if (use && use.wanted > 0) wanted.set(entry.member, use.wanted)
     }
     return wanted
   }
--- a/src/entry/pool-queue.ts
+++ b/src/entry/pool-queue.ts
@@ -15,8 +15,15 @@
 /** Slot time assumed before any request has ended, in milliseconds. */
 const INITIAL_SERVICE_MILLISECONDS = 50
 
-/** Weight of the newest service time in the running mean. */
-const SERVICE_SMOOTHING = 0.05
+/** Weight of the newest service time in the running mean, once there are many. */
+const SERVICE_SMOOTHING = 0.005
+
+/**
+ * Mean service times that must remain after the expected wait for a request to be admitted.
+ * Service times spread widely; with room for one mean only, a third of what starts last
+ * would run in vain.
+ */
+const RESERVED_SERVICE_TIMES = 3
 
 /** What a request brings to the queue. */
 interface Entrance {
@@ -54,6 +61,7 @@
   private _slots = 1
   private _carry = 0
   private _running = 0
+  private _learned = 0
   private _serviceMilliseconds = INITIAL_SERVICE_MILLISECONDS
 
   /**
@@ -153,7 +161,8 @@
   /** Runs as a job of `p-queue`: hands the slot out and ends when it is released. */
   private async _occupy (entrance: Entrance, resolve: (slot: Either<Refusal, Slot>) => void): Promise<void> {
     const { team } = entrance
-    const startedAt = this._clock.now()
+    let startedAt: number | null = null
+    const begin = (): void => { startedAt = this._clock.now() }
     const charged = this._serviceMilliseconds
     if (entrance.signal.aborted || this._isHopeless(entrance)) {
       this._order.charge(team, -charged)
@@ -161,13 +170,19 @@
       return
     }
     this._start(team)
-    await new Promise<void>(_resolve => resolve(Right({ release: _resolve })))
-    const took = this._clock.now() - startedAt
+    await new Promise<void>(_resolve => resolve(Right({ begin, release: _resolve })))
+    const took = startedAt === null ? 0 : this._clock.now() - startedAt
     this._order.charge(team, took - charged)
-    this._serviceMilliseconds += SERVICE_SMOOTHING * (took - this._serviceMilliseconds)
+    if (startedAt !== null) this._learn(took)
     this._end(team)
   }
 
+  /** A plain mean at first, a running one later; a jumpy mean would admit in waves. */
+  private _learn (took: number): void {
+    this._learned += 1
+    this._serviceMilliseconds += Math.max(SERVICE_SMOOTHING, 1 / (1 + this._learned)) * (took - this._serviceMilliseconds)
+  }
+
   private _start (team: string | null): void {
     this._running += 1
     this._runningByTeam.set(team, (this._runningByTeam.get(team) ?? 0) + 1)
@@ -188,7 +203,7 @@
     if ((backlog?.requests ?? 0) >= queue.maximumQueuedRequests || (backlog?.bytes ?? 0) + bytes > queue.maximumQueuedBytes) {
       return new Refusal('queue-full', 'not-run', `queue ${queue.name} holds all it may for the team`, this._retryAfter(team))
     }
-    const expected = this._clock.now() + this._expectedWait(team) + this._serviceMilliseconds
+    const expected = this._clock.now() + this._expectedWait(team) + RESERVED_SERVICE_TIMES * this._serviceMilliseconds
     if ((backlog?.requests ?? 0) > 0 && expected > entrance.deadline) {
       return new Refusal('no-capacity', 'not-run', 'the deadline would pass before the request could run', this._retryAfter(team))
     }
@@ -206,7 +221,7 @@
   }
 
   private _isHopeless (entrance: Entrance): boolean {
-    return this._clock.now() + this._serviceMilliseconds / 2 > entrance.deadline
+    return this._clock.now() + this._serviceMilliseconds > entrance.deadline
   }
 
   private _enter ({ team, bytes }: Entrance): Backlog {
--- a/src/entry/request-dispatcher.ts
+++ b/src/entry/request-dispatcher.ts
@@ -107,6 +107,7 @@
       }
       const endpoint = this._directory.get(candidate.virtualMachine)
       if (!endpoint) continue
+      slot.begin()
       const result = await this._send(request, outgoing, endpoint, signal)
       if (result.isRight()) return this._deliver(result.extract() as EndpointAnswer, request, endpoint, progress, slot)
       const failure = result.extract() as AttemptFailure
--- a/src/entry/share-division-task.ts
+++ b/src/entry/share-division-task.ts
@@ -6,6 +6,7 @@
 import type { StateKeeper } from '../state/state-keeper.js'
 import type { Clock } from '../supervision/clock.js'
 import { Task } from '../supervision/task.js'
+import { OwnDemand } from './own-demand.js'
 import type { PoolQueue } from './pool-queue.js'
 import type { PoolQueues } from './pool-queues.js'
 import type { SlotDivision } from './slot-division.js'
@@ -17,6 +18,7 @@
 /** Works the division out again and again; a lent share comes back within one interval and one heartbeat. */
 export class ShareDivisionTask extends Task {
   override readonly name = 'share-division'
+  private readonly _ownDemands = new Map<string, OwnDemand>()
 
   /**
    * @param _self name of this process.
@@ -44,13 +46,19 @@
   /** Works out and sets all parts once. */
   divide (): void {
     const others = this._others()
-    const members = [this._self, ...others.map(entry => entry.member.id)]
+    const members = [this._self, ...others.map(entry => entry.member)]
     for (const queue of this._queues.all()) {
       const slots = this._view.slots(queue.pool)
       queue.allot(this._division.divide({ slots, self: this._self, members, teams: this._demands(queue, others) }))
     }
   }
 
+  private _ownDemand (queue: PoolQueue): OwnDemand {
+    const present = this._ownDemands.get(queue.pool) ?? new OwnDemand()
+    this._ownDemands.set(queue.pool, present)
+    return present
+  }
+
   private _demands (queue: PoolQueue, others: readonly MemberEntry[]): TeamDemands[] {
     const byTeam = new Map<string | null, Map<string, number>>()
     const add = (team: string | null, member: string, demand: number): void => {
@@ -58,10 +66,10 @@
       members.set(member, (members.get(member) ?? 0) + demand)
       byTeam.set(team, members)
     }
-    for (const { team, running, waiting } of queue.demands()) add(team, this._self, running + waiting)
+    for (const [team, demand] of this._ownDemand(queue).follow(queue.demands())) add(team, this._self, demand)
     for (const entry of others) {
-      for (const { pool, team, running, waiting } of entry.demands) {
-        if (pool === queue.pool) add(team, entry.member.id, running + waiting)
+      for (const { pool, team, running, waiting } of entry.demands ?? []) {
+        if (pool === queue.pool) add(team, entry.member, running + waiting)
       }
     }
     return [...byTeam].map(([team, byMember]) => ({
--- a/src/peers/account.ts
+++ b/src/peers/account.ts
@@ -4,4 +4,6 @@
 import type { MemberEntry } from '../schemas/member-entry.js'
 
 /** The parts of a member's account that depend on its role. */
-export type Account = Pick<MemberEntry, 'demands' | 'grantUses' | 'busyVirtualMachines' | 'suspectedVirtualMachines'>
+export type Account = {
+  [Part in 'demands' | 'grantUses' | 'busyVirtualMachines' | 'suspectedVirtualMachines']: NonNullable<MemberEntry[Part]>
+}
--- a/src/peers/membership.ts
+++ b/src/peers/membership.ts
@@ -1,21 +1,15 @@
 /**
  * What this process has heard of the others.
  */
+import type { Heartbeat } from '../schemas/heartbeat.js'
 import type { Member } from '../schemas/member.js'
 import type { MemberEntry } from '../schemas/member-entry.js'
 import type { StateKeeper } from '../state/state-keeper.js'
 import type { Clock } from '../supervision/clock.js'
 import { Notifier } from '../supervision/notifier.js'
+import type { Account } from './account.js'
 import type { AccountSource } from './account-source.js'
-
-/** Silence after which a member counts as unreachable from here, in milliseconds. */
-const SILENCE_MILLISECONDS = 3_000
-
-/** Age of an account after which a newer one is asked for, in milliseconds, while there are few members. */
-const WANTED_AGE_MILLISECONDS = 600
-
-/** Members up to which accounts are refreshed at the full rate; beyond it the age grows in proportion. */
-const FULL_RATE_MEMBERS = 24
+import { HeartbeatPace } from './heartbeat-pace.js'
 
 /** An account with the time of its arrival. */
 interface Heard {
@@ -31,7 +25,10 @@
 export class Membership {
   /** Notified when an account arrives. */
   readonly changed = new Notifier()
+  /** How often to speak, and how old accounts may grow. */
+  readonly pace: HeartbeatPace
   private readonly _heard = new Map<string, Heard>()
+  private readonly _askedAt = new Map<string, number>()
   private _sequence = 0
   private _isStopping = false
 
@@ -45,7 +42,9 @@
     private readonly _source: AccountSource,
     private readonly _reachesLog: () => boolean,
     private readonly _clock: Clock
-  ) {}
+  ) {
+    this.pace = new HeartbeatPace(_keeper)
+  }
 
   /** Whether this process reaches the log by itself. */
   get ownReachesLog (): boolean {
@@ -60,18 +59,21 @@
   /** This process's own account, new at every call. */
   ownEntry (): MemberEntry {
     this._sequence += 1
+    const account = this._source.account()
+    this.pace.noteWork(account.demands.length + account.busyVirtualMachines.length > 0)
     return {
-      member: this.self,
+      member: this.self.id,
+      incarnation: this.self.incarnation,
       sequence: this._sequence,
       offset: this._keeper.state.offset,
       freshAt: this._keeper.freshAt,
       reachesLog: this._reachesLog(),
-      isStopping: this._isStopping,
-      ...this._source.account()
+      ...(this._isStopping ? { isStopping: true } : {}),
+      ...this._withoutEmpty(account)
     }
   }
 
-  /** Takes accounts; older ones than those held are dropped. */
+  /** Takes accounts; those of unknown incarnations and those older than what is held are dropped. */
   observe (entries: readonly MemberEntry[]): void {
     for (const entry of entries) if (this._isNews(entry)) this._take(entry)
     this._shareFreshness()
@@ -80,18 +82,20 @@
 
   /** Accounts of other members heard of lately. */
   living (): MemberEntry[] {
-    const since = this._clock.now() - SILENCE_MILLISECONDS
-    return [...this._heard.values()].filter(({ heardAt }) => heardAt >= since).map(({ entry }) => entry)
+    const since = this._clock.now() - this.pace.silenceMilliseconds
+    return [...this._heard.values()].filter(({ heardAt, entry }) => heardAt >= since && this._isMember(entry)).map(({ entry }) => entry)
   }
 
   /** Accounts of the other entry processes heard of lately. */
   livingEntries (): MemberEntry[] {
-    return this.living().filter(entry => entry.member.role === 'entry')
+    const { members } = this._keeper.state
+    return this.living().filter(entry => members.get(entry.member)?.role === 'entry')
   }
 
-  /** The newest account of a member, however old. */
+  /** The newest account of a member's living incarnation, however old. */
   entryOf (member: string): MemberEntry | undefined {
-    return this._heard.get(member)?.entry
+    const entry = this._heard.get(member)?.entry
+    return entry && this._isMember(entry) ? entry : undefined
   }
 
   /** When a member was last heard of, epoch milliseconds; 0 for never. */
@@ -99,44 +103,53 @@
     return this._heard.get(member)?.heardAt ?? 0
   }
 
-  /** Members whose accounts have grown old, for the next heartbeat. */
-  wanted (): { member: string, incarnation: string, sequence: number }[] {
-    const { members } = this._keeper.state
-    const age = WANTED_AGE_MILLISECONDS * Math.max(1, members.size / FULL_RATE_MEMBERS)
-    const before = this._clock.now() - age
-    return [...members.values()]
-      .filter(({ id }) => id !== this.self.id && this.heardAt(id) < before)
-      .map(({ id, incarnation }) => {
-        const entry = this._heard.get(id)?.entry
-        const isSame = entry?.member.incarnation === incarnation
-        return { member: id, incarnation, sequence: isSame ? entry.sequence : -1 }
-      })
+  /**
+   * Members whose accounts have grown old, for the next heartbeat. Each is asked about at
+   * one peer at a time, or every peer would send the same account.
+   */
+  takeWanted (): Heartbeat['wanted'] {
+    const now = this._clock.now()
+    const before = now - this.pace.wantedAgeMilliseconds
+    const wanted: Heartbeat['wanted'] = []
+    for (const { id } of this._keeper.state.members.values()) {
+      const isRecent = this.heardAt(id) >= before || (this._askedAt.get(id) ?? 0) >= now - this.pace.intervalMilliseconds
+      if (id === this.self.id || isRecent) continue
+      this._askedAt.set(id, now)
+      wanted.push([id, this.entryOf(id)?.sequence ?? -1])
+    }
+    return wanted
   }
 
   /** Accounts held that are newer than what a peer has. */
-  newerThan (wanted: readonly { member: string, incarnation: string, sequence: number }[]): MemberEntry[] {
-    return wanted.flatMap(({ member, incarnation, sequence }) => {
-      const heard = this._heard.get(member)
-      if (!heard || heard.heardAt < this._clock.now() - SILENCE_MILLISECONDS) return []
-      const isNewer = heard.entry.member.incarnation !== incarnation || heard.entry.sequence > sequence
-      return isNewer ? [heard.entry] : []
+  newerThan (wanted: Heartbeat['wanted']): MemberEntry[] {
+    const since = this._clock.now() - this.pace.silenceMilliseconds
+    return wanted.flatMap(([member, sequence]) => {
+      const entry = this.entryOf(member)
+      return entry && this.heardAt(member) >= since && entry.sequence > sequence ? [entry] : []
     })
   }
 
+  private _isMember (entry: MemberEntry): boolean {
+    return this._keeper.state.members.get(entry.member)?.incarnation === entry.incarnation
+  }
+
   private _isNews (entry: MemberEntry): boolean {
-    if (entry.member.id === this.self.id) return false
-    const present = this._heard.get(entry.member.id)?.entry
-    if (!present) return true
-    if (present.member.incarnation === entry.member.incarnation) return entry.sequence > present.sequence
-    return entry.member.joinedAt > present.member.joinedAt
+    if (entry.member === this.self.id || !this._isMember(entry)) return false
+    const present = this._heard.get(entry.member)?.entry
+    return !present || present.incarnation !== entry.incarnation || entry.sequence > present.sequence
   }
 
   private _take (entry: MemberEntry): void {
-    this._heard.set(entry.member.id, { entry, heardAt: this._clock.now() })
+    this._heard.set(entry.member, { entry, heardAt: this._clock.now() })
+    this.pace.noteWork((entry.demands?.length ?? 0) > 0)
     // A member that was fresh at an offset that is folded here vouches for this state as well.
     if (entry.offset <= this._keeper.state.offset) this._keeper.markFresh(entry.freshAt)
   }
 
+  private _withoutEmpty (account: Account): Partial<Account> {
+    return Object.fromEntries(Object.entries(account).filter(([, items]) => items.length > 0))
+  }
+
   /**
    * With the log down for all, nothing new can be decided. If every member of the set at
    * the last offset has been heard of, none reaches the log and none knows more, then this
@@ -146,12 +159,11 @@
     if (this._reachesLog()) return
     const { offset, members } = this._keeper.state
     let oldest = this._clock.now()
-    for (const { id, incarnation } of members.values()) {
+    for (const { id } of members.values()) {
       if (id === this.self.id) continue
-      const heard = this._heard.get(id)
-      if (!heard || heard.entry.member.incarnation !== incarnation) return
-      if (heard.entry.reachesLog || heard.entry.offset > offset) return
-      oldest = Math.min(oldest, heard.heardAt)
+      const entry = this.entryOf(id)
+      if (!entry || entry.reachesLog || entry.offset > offset) return
+      oldest = Math.min(oldest, this.heardAt(id))
     }
     if (members.size > 1) this._keeper.markFresh(oldest)
   }
--- a/src/peers/peer-directory-task.ts
+++ b/src/peers/peer-directory-task.ts
@@ -2,6 +2,7 @@
  * Keeps a task for each neighbour.
  */
 import type { Metrics } from '../observability/metrics.js'
+import type { MemberEntry } from '../schemas/member-entry.js'
 import type { SocketAddress } from '../schemas/socket-address.js'
 import type { StateKeeper } from '../state/state-keeper.js'
 import type { Clock } from '../supervision/clock.js'
@@ -50,9 +51,9 @@
     super()
   }
 
-  /** Open channels to neighbours. */
-  channels (): { address: SocketAddress, channel: PeerChannel }[] {
-    return [...this._running.values()].flatMap(({ task }) => task.channel ? [{ address: task.address, channel: task.channel }] : [])
+  /** Open channels to neighbours, with the neighbour's last account of itself. */
+  channels (): { entry: MemberEntry | null, channel: PeerChannel }[] {
+    return [...this._running.values()].flatMap(({ task }) => task.channel ? [{ entry: task.entry, channel: task.channel }] : [])
   }
 
   override async run (signal: AbortSignal): Promise<void> {
--- a/src/peers/peer-task.ts
+++ b/src/peers/peer-task.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '../observability/metrics.js'
 import { Heartbeat } from '../schemas/heartbeat.js'
 import { HeartbeatAnswer } from '../schemas/heartbeat-answer.js'
+import type { MemberEntry } from '../schemas/member-entry.js'
 import type { SocketAddress } from '../schemas/socket-address.js'
 import type { StateKeeper } from '../state/state-keeper.js'
 import { Backoff } from '../supervision/backoff.js'
@@ -16,9 +17,6 @@
 import { PeerChannel } from './peer-channel.js'
 import type { PeerMethods } from './peer-methods.js'
 
-/** Time from one heartbeat to the next, in milliseconds. */
-const HEARTBEAT_INTERVAL_MILLISECONDS = 250
-
 /** Shortest time between two heartbeats when there is news to pass on, in milliseconds. */
 const NEWS_INTERVAL_MILLISECONDS = 20
 
@@ -39,6 +37,7 @@
   override readonly name: string
   private readonly _backoff: Backoff
   private _channel: PeerChannel | null = null
+  private _entry: MemberEntry | null = null
 
   /** @param address where the peer listens. */
   constructor (
@@ -56,6 +55,11 @@
     this._backoff = new Backoff(_clock, random, RETRY_BASE_MILLISECONDS, RETRY_CEILING_MILLISECONDS)
   }
 
+  /** The peer's own account at its last answer, or null. */
+  get entry (): MemberEntry | null {
+    return this._entry
+  }
+
   /** The open channel, or null while there is none. */
   get channel (): PeerChannel | null {
     return this._channel
@@ -84,7 +88,7 @@
 
   /** One heartbeat; false if the peer didn't answer. */
   private async _beat (channel: PeerChannel): Promise<boolean> {
-    const params: Heartbeat = { entry: this._membership.ownEntry(), wanted: this._membership.wanted() }
+    const params: Heartbeat = { entry: this._membership.ownEntry(), wanted: this._membership.takeWanted() }
     const deadline = this._clock.now() + ANSWER_TIMEOUT_MILLISECONDS
     const answer = await channel.call({ method: 'heartbeat', params, answer: HeartbeatAnswer, deadline })
     if (answer.isLeft()) {
@@ -95,32 +99,26 @@
     const { entries } = answer.extract() as HeartbeatAnswer
     this._membership.observe(entries)
     const [peer] = entries
+    this._entry = peer ?? null
     if (peer && peer.offset > this._keeper.state.offset && this._methods.isBehind()) await this._methods.catchUp(channel)
     return true
   }
 
-  /** Waits for the next beat; sooner if there are new records and the peer cannot get them by itself. */
+  /** Waits for the next beat; sooner after a change of configuration, and for new records that the peer cannot get by itself. */
   private async _awaitNextBeat (signal: AbortSignal): Promise<void> {
-    const { offset } = this._keeper.state
+    const { offset, configurationOffset } = this._keeper.state
     const startedAt = this._clock.now()
-    const next = startedAt + HEARTBEAT_INTERVAL_MILLISECONDS
+    const next = startedAt + this._membership.pace.intervalMilliseconds
     while (!signal.aborted && this._clock.now() < next) {
       await this._keeper.changed.wait(this._clock, next, signal)
-      const hasNews = this._keeper.state.offset > offset && this._peerNeedsRecords()
-      if (!hasNews) continue
+      const { state } = this._keeper
+      const peerNeedsRecords = state.offset > offset && this._entry?.reachesLog === false
+      if (!peerNeedsRecords && state.configurationOffset === configurationOffset) continue
       await this._clock.sleepUntil(startedAt + NEWS_INTERVAL_MILLISECONDS, signal).catch(() => {})
       return
     }
   }
 
-  private _peerNeedsRecords (): boolean {
-    return this._membership.living().some(entry => this._isPeer(entry.member.address) && !entry.reachesLog)
-  }
-
-  private _isPeer (address: SocketAddress): boolean {
-    return address.host === this.address.host && address.port === this.address.port
-  }
-
   private async _connect (signal: AbortSignal): Promise<TLSSocket | null> {
     const socket = connect({ ...this._secret.clientOptions(), host: this.address.host, port: this.address.port })
     const deadline = this._clock.now() + CONNECT_TIMEOUT_MILLISECONDS
--- a/src/peers/relaying-platform-log.ts
+++ b/src/peers/relaying-platform-log.ts
@@ -8,7 +8,7 @@
 import { PlatformLog } from '../platform/platform-log.js'
 import type { LogPage } from '../schemas/log-page.js'
 import type { LogRecord } from '../schemas/log-record.js'
-import type { SocketAddress } from '../schemas/socket-address.js'
+import type { MemberEntry } from '../schemas/member-entry.js'
 import type { Clock } from '../supervision/clock.js'
 import type { Membership } from './membership.js'
 import type { PeerChannel } from './peer-channel.js'
@@ -27,7 +27,7 @@
  * have comes with their heartbeats.
  */
 export class RelayingPlatformLog extends PlatformLog {
-  private _channels: () => { address: SocketAddress, channel: PeerChannel }[] = () => []
+  private _channels: () => { entry: MemberEntry | null, channel: PeerChannel }[] = () => []
 
   constructor (
     private readonly _direct: PlatformLog,
@@ -39,7 +39,7 @@
   }
 
   /** Gives the way to the neighbours; the wiring calls it once both exist. */
-  connect (channels: () => { address: SocketAddress, channel: PeerChannel }[]): void {
+  connect (channels: () => { entry: MemberEntry | null, channel: PeerChannel }[]): void {
     this._channels = channels
   }
 
@@ -71,8 +71,7 @@
   private _relays (hops: number): PeerChannel[] {
     const reaching: PeerChannel[] = []
     const others: PeerChannel[] = []
-    for (const { address, channel } of this._channels()) {
-      const entry = this._membership.living().find(({ member }) => member.address.host === address.host && member.address.port === address.port)
+    for (const { entry, channel } of this._channels()) {
       if (entry?.reachesLog) reaching.push(channel)
       else if (entry) others.push(channel)
     }
--- a/src/schemas/heartbeat.ts
+++ b/src/schemas/heartbeat.ts
@@ -8,11 +8,7 @@
 export const Heartbeat = z.object({
   /** The sender's own account. */
   entry: MemberEntry,
-  /** Members of whom the sender has heard nothing for a while, with the newest sequence that it has. */
-  wanted: z.array(z.object({
-    member: MemberEntry.shape.member.shape.id,
-    incarnation: MemberEntry.shape.member.shape.incarnation,
-    sequence: z.number().int().min(-1)
-  })).max(4_096)
+  /** Members of whom the sender has heard nothing for a while, with the newest sequence that it has; -1 for none. */
+  wanted: z.array(z.tuple([MemberEntry.shape.member, z.number().int().min(-1)])).max(4_096)
 })
 export type Heartbeat = z.infer<typeof Heartbeat>
--- a/src/schemas/member-entry.ts
+++ b/src/schemas/member-entry.ts
@@ -26,9 +26,14 @@
   wanted: z.number().int().min(0)
 })
 
-/** One member's own account of itself; the newest by incarnation and sequence counts. */
+/**
+ * One member's own account of itself; the newest by sequence counts. What the log knows of
+ * the member isn't repeated, and empty parts aren't sent, because accounts make up nearly
+ * all of what peers send.
+ */
 export const MemberEntry = z.object({
-  member: Member,
+  member: Name,
+  incarnation: Member.shape.incarnation,
   /** Grows with every account of one incarnation. */
   sequence: z.number().int().min(0),
   /** Offset that the member's state has folded. */
@@ -38,12 +43,12 @@
   /** Whether it reaches the platform's log by itself. */
   reachesLog: z.boolean(),
   /** Whether it is stopping. */
-  isStopping: z.boolean(),
-  demands: z.array(TeamDemand).max(4_096),
-  grantUses: z.array(GrantUse).max(1_024),
+  isStopping: z.boolean().optional(),
+  demands: z.array(TeamDemand).max(4_096).optional(),
+  grantUses: z.array(GrantUse).max(1_024).optional(),
   /** VMs not in service on which it still has requests running. */
-  busyVirtualMachines: z.array(Name).max(4_096),
+  busyVirtualMachines: z.array(Name).max(4_096).optional(),
   /** VMs that don't answer it. */
-  suspectedVirtualMachines: z.array(Name).max(8_192)
+  suspectedVirtualMachines: z.array(Name).max(8_192).optional()
 })
 export type MemberEntry = z.infer<typeof MemberEntry>
--- a/src/state/record-fold.ts
+++ b/src/state/record-fold.ts
@@ -9,8 +9,8 @@
 import type { FleetState } from './fleet-state.js'
 import type { FoldContext } from './fold-context.js'
 
-/** Decisions on operators' changes that are kept, about two days' worth at 3,700 a day. */
-const MAXIMUM_DECISIONS = 8_000
+/** Decisions on operators' changes that are kept, a day's worth at 3,700 a day. */
+const MAXIMUM_DECISIONS = 4_000
 
 /**
  * Most that one record moves the state's time forward, in milliseconds, so that one
