--- a/benchmarks/fleet-simulation.ts
+++ b/benchmarks/fleet-simulation.ts
@@ -4,6 +4,7 @@
 import { PowerOfTwoChooser } from '../src/endpoints/power-of-two-chooser.js'
 import { DemandSlotDivision } from '../src/entry/demand-slot-division.js'
 import { LimitLedger } from '../src/entry/limit-ledger.js'
+import { LoanBook } from '../src/entry/loan-book.js'
 import { OwnDemand } from '../src/entry/own-demand.js'
 import { PoolQueue } from '../src/entry/pool-queue.js'
 import type { SlotDivision } from '../src/entry/slot-division.js'
@@ -139,7 +140,7 @@
     }
     const keeper = new StateKeeper(this.clock, new MemoryMetrics())
     keeper.load(author.state.toSnapshot())
-    const ledger = new LimitLedger(keeper, { member: name, incarnation: `${name}-1` })
+    const ledger = new LimitLedger(keeper, { member: name, incarnation: `${name}-1` }, new LoanBook(this.clock))
     return new SimulatedEntry(name, new PoolQueue('work', this.clock, ledger, team => this._options.shares.get(team ?? '') ?? 1, new MemoryMetrics()))
   }
 
--- a/src/entry/grant-task.ts
+++ b/src/entry/grant-task.ts
@@ -131,7 +131,8 @@
         limit: state.upperLimit(team),
         granted: state.grantedUnits(team),
         held: this._ledger.held(team),
-        running: this._ledger.running(team),
+        // What is lent is in use elsewhere and cannot be given away.
+        running: this._ledger.running(team) + this._ledger.lent(team),
         waiting: waiting.get(team) ?? 0,
         isActive: this._isActive(team, waiting.get(team) ?? 0),
         members,
@@ -170,7 +171,7 @@
     const never = new AbortController().signal
     if (this._undecided) await this._step([], never, GIVE_BACK_TIMEOUT_MILLISECONDS)
     const plans = [...this._keeper.state.teams.keys()]
-      .map(team => ({ team, adjust: -this._ledger.held(team), pass: null }))
+      .map(team => ({ team, adjust: this._ledger.lent(team) - this._ledger.held(team), pass: null }))
       .filter(plan => plan.adjust < 0 && this._ledger.running(plan.team) === 0)
     await this._step(plans, never, GIVE_BACK_TIMEOUT_MILLISECONDS)
   }
--- a/src/entry/limit-ledger.ts
+++ b/src/entry/limit-ledger.ts
@@ -3,13 +3,14 @@
  */
 import type { Holder } from '../schemas/holder.js'
 import type { StateKeeper } from '../state/state-keeper.js'
+import type { LoanBook } from './loan-book.js'
 
 /** Units of upper limits in use at this process. Only what the fold has granted may be used. */
 export class LimitLedger {
   private readonly _running = new Map<string, number>()
   private readonly _withheld = new Map<string, number>()
 
-  constructor (private readonly _keeper: StateKeeper, private readonly _self: Holder) {}
+  constructor (private readonly _keeper: StateKeeper, private readonly _self: Holder, private readonly _loans: LoanBook) {}
 
   /** Requests of a team that run here, those with lost answers among them. */
   running (team: string): number {
@@ -28,15 +29,21 @@
     return state.isLiving(this._self) ? state.unitsHeldBy(this._self, team) : 0
   }
 
-  /** Units that work may use: those held, less what is being given back and what a lowered limit takes away. */
+  /** Units that are lent to other processes. */
+  lent (team: string): number {
+    return this._loans.lent(team)
+  }
+
+  /** Units that work may use: held and borrowed, less those lent, those being given back and those that a lowered limit takes away. */
   usable (team: string): number {
     const { state } = this._keeper
-    const held = this.held(team) - (this._withheld.get(team) ?? 0)
+    const held = this.held(team)
+    const given = (this._withheld.get(team) ?? 0) + this._loans.lent(team)
     const granted = state.grantedUnits(team)
     const limit = state.upperLimit(team)
-    if (granted <= limit) return held
+    if (granted <= limit) return held - given + this._loans.borrowed(team)
     // The limit was lowered: every holder keeps at most its part, so that the sum is right at once.
-    return Math.min(held, Math.floor(this.held(team) * limit / granted))
+    return Math.min(held - given, Math.floor(held * limit / granted))
   }
 
   /** Whether one more request of a team may start. Work of no team has no limit. */
--- /dev/null
+++ b/src/entry/loan-book.ts
@@ -0,0 +1,82 @@
+/**
+ * Units lent to and borrowed from other entry processes.
+ */
+import type { Loan } from '../schemas/loan.js'
+import type { Clock } from '../supervision/clock.js'
+
+/**
+ * Both sides of all loans of one process.
+ *
+ * A lender counts a loan from before it is told to the borrower until its end deadline, or
+ * until the borrower has said that it is over; a borrower counts it only until its start
+ * deadline. So whatever message is lost, no unit is used twice: at worst it is used by
+ * nobody until the end deadline.
+ */
+export class LoanBook {
+  private readonly _lent = new Map<string, Loan>()
+  private readonly _borrowed = new Map<string, Loan>()
+
+  constructor (private readonly _clock: Clock) {}
+
+  /** Units of a team that are lent. */
+  lent (team: string): number {
+    const now = this._clock.now()
+    let units = 0
+    for (const loan of this._lent.values()) {
+      if (loan.endDeadline <= now) this._lent.delete(loan.id)
+      else if (loan.team === team) units += loan.units
+    }
+    return units
+  }
+
+  /** Borrowed units of a team under which work may start now. */
+  borrowed (team: string): number {
+    const now = this._clock.now()
+    let units = 0
+    for (const loan of this._borrowed.values()) {
+      if (loan.startDeadline <= now) this._borrowed.delete(loan.id)
+      else if (loan.team === team) units += loan.units
+    }
+    return units
+  }
+
+  /** Notes a loan that is about to be told to its borrower. */
+  lend (loan: Loan): void {
+    this._lent.set(loan.id, loan)
+  }
+
+  /** Notes a loan that a lender has granted. */
+  borrow (loan: Loan): void {
+    this._borrowed.set(loan.id, loan)
+  }
+
+  /** Borrowed loans of a team whose start deadline is near: before `deadline`, epoch milliseconds. */
+  endingBefore (team: string, deadline: number): Loan[] {
+    return [...this._borrowed.values()].filter(loan => loan.team === team && loan.startDeadline < deadline)
+  }
+
+  /** A loan that is lent, if it has not ended. */
+  lentLoan (id: string): Loan | undefined {
+    const loan = this._lent.get(id)
+    return loan && loan.endDeadline > this._clock.now() ? loan : undefined
+  }
+
+  /** Ends a loan at the lender: its borrower has no more work under it. */
+  settle (id: string): void {
+    this._lent.delete(id)
+  }
+
+  /**
+   * Takes a loan that stands idle out of use at the borrower, so that it can be settled.
+   *
+   * @param idle units of the team that no work uses.
+   */
+  takeIdle (team: string, idle: number): Loan | undefined {
+    for (const loan of this._borrowed.values()) {
+      if (loan.team !== team || loan.units > idle) continue
+      this._borrowed.delete(loan.id)
+      return loan
+    }
+    return undefined
+  }
+}
--- a/src/entry/pool-queue.ts
+++ b/src/entry/pool-queue.ts
@@ -15,6 +15,9 @@
 /** Slot time assumed before any request has ended, in milliseconds. */
 const INITIAL_SERVICE_MILLISECONDS = 50
 
+/** Smallest part of a slot that an expected wait is reckoned with. */
+const SMALLEST_PART = 0.1
+
 /** Weight of the newest service time in the running mean, once there are many. */
 const SERVICE_SMOOTHING = 0.005
 
@@ -102,6 +105,11 @@
     return this._serviceMilliseconds
   }
 
+  /** Requests of a team that wait. */
+  waitingOf (team: string | null): number {
+    return this._order.waitingOf(team)
+  }
+
   /** Teams with work here, with what runs and what waits. */
   demands (): { team: string | null, running: number, waiting: number }[] {
     return this._order.teams()
@@ -210,9 +218,12 @@
     return null
   }
 
-  /** Time until what a team has waiting has started, in milliseconds, going by its part of the slots. */
+  /**
+   * Time until what a team has waiting has started, in milliseconds, going by its part of
+   * the slots. Before the division has counted a team, nothing speaks against its having all.
+   */
   private _expectedWait (team: string | null): number {
-    const part = Math.max(this._allotment.byTeam.get(team) ?? 0, 0.1)
+    const part = Math.max(this._allotment.byTeam.get(team) ?? this._slots, SMALLEST_PART)
     return this._order.waitingOf(team) * this._serviceMilliseconds / part
   }
 
--- a/src/main/process-tree.ts
+++ b/src/main/process-tree.ts
@@ -26,6 +26,8 @@
 import { GrantTask } from '../entry/grant-task.js'
 import { KeyVerifier } from '../entry/key-verifier.js'
 import { LimitLedger } from '../entry/limit-ledger.js'
+import { LoanBook } from '../entry/loan-book.js'
+import { LoanTask } from '../entry/loan-task.js'
 import { PoolQueues } from '../entry/pool-queues.js'
 import { RequestDispatcher } from '../entry/request-dispatcher.js'
 import { RequestService } from '../entry/request-service.js'
@@ -35,9 +37,11 @@
 import { FleetSecret } from '../peers/fleet-secret.js'
 import { MemberTask } from '../peers/member-task.js'
 import { Membership } from '../peers/membership.js'
+import { PeerChannels } from '../peers/peer-channels.js'
 import { PeerDirectoryTask } from '../peers/peer-directory-task.js'
 import { PeerMethods } from '../peers/peer-methods.js'
 import { PeerServerTask } from '../peers/peer-server-task.js'
+import type { PeerService } from '../peers/peer-service.js'
 import { RelayingPlatformLog } from '../peers/relaying-platform-log.js'
 import { SilentAccountSource } from '../peers/silent-account-source.js'
 import type { Holder } from '../schemas/holder.js'
@@ -90,14 +94,19 @@
     const directory = new EndpointDirectoryTask(endpoints, keeper, prober, clock, random, this._observer, metrics)
     const guard = new CutOffGuard(keeper, clock, self.availabilityZone)
     const view = new PoolView(keeper, directory, clock, zone => guard.mayStartIn(zone))
-    const ledger = new LimitLedger(keeper, holder)
+    const loans = new LoanBook(clock)
+    const ledger = new LimitLedger(keeper, holder, loans)
     const queues = new PoolQueues(keeper, ledger, clock, metrics)
     const account = new EntryAccountSource(keeper, queues, directory)
 
-    const core = this._core(root, settings, self, account)
+    const channels = new PeerChannels()
+    const services: PeerService[] = []
+    const core = this._core(root, settings, self, account, channels, services)
     const others = () => core.membership.livingEntries()
     const grants = new GrantTask(holder, ledger, queues, new DemandGrantPolicy(), others, keeper, core.submitter, identifiers, clock, metrics)
     account.connect(grants)
+    const lending = new LoanTask(loans, ledger, queues, core.membership, channels, keeper, identifiers, clock)
+    services.push(lending)
     const claims = new ClaimTask(holder, keeper, core.submitter, identifiers, clock, metrics)
     const division = new ShareDivisionTask(self.id, queues, view, new DemandSlotDivision(), others, keeper, clock)
     const chooser = new PowerOfTwoChooser(random)
@@ -109,7 +118,7 @@
     const server = new CallerServerTask(
       settings.callers.address, requests, service, identifiers, isServing, settings.stop.readinessGraceMilliseconds, clock, metrics
     )
-    for (const child of [endpoints, directory, grants, claims, division, requests, server]) root.add(child)
+    for (const child of [endpoints, directory, grants, lending, claims, division, requests, server]) root.add(child)
     return root
   }
 
@@ -119,7 +128,7 @@
     const { keeper } = this
     const root = this._supervisor('control')
     const self = this._memberOf(settings, 'control')
-    const { membership, submitter, writer, self: holder } = this._core(root, settings, self, new SilentAccountSource())
+    const { membership, submitter, writer, self: holder } = this._core(root, settings, self, new SilentAccountSource(), new PeerChannels(), [])
     const parts: ControlParts = { self: holder, keeper, submitter, identifiers, clock, random, metrics }
 
     root.add(new SnapshotTask(parts, writer, settings.snapshots.recordsBetween))
@@ -137,7 +146,9 @@
   }
 
   /** Log, peers and membership, the lowest part of both trees. */
-  private _core (root: Supervisor, settings: CommonSettings, self: Member, account: AccountSource): Core {
+  private _core (
+    root: Supervisor, settings: CommonSettings, self: Member, account: AccountSource, channels: PeerChannels, services: readonly PeerService[]
+  ): Core {
     const { clock, random, identifiers, metrics, platformLog, requestStop } = this._environment
     const { keeper } = this
     const holder = { member: self.id, incarnation: self.incarnation }
@@ -148,7 +159,7 @@
     const submitter = new CommandSubmitter(holder, writer, keeper, clock)
 
     const secret = new FleetSecret(settings.peers.secret)
-    const methods = new PeerMethods(membership, keeper, relay, clock)
+    const methods = new PeerMethods(membership, keeper, relay, channels, services, clock)
     const peers = this._supervisor('peers')
     const connections = this._supervisor('peer-connections')
     const directory = new PeerDirectoryTask(peers, settings.peers.seeds, secret, membership, methods, keeper, clock, random, metrics)
--- a/src/peers/peer-methods.ts
+++ b/src/peers/peer-methods.ts
@@ -11,6 +11,8 @@
 import type { Clock } from '../supervision/clock.js'
 import type { Membership } from './membership.js'
 import type { PeerChannel } from './peer-channel.js'
+import type { PeerChannels } from './peer-channels.js'
+import type { PeerService } from './peer-service.js'
 
 /** Limit on a peer's answer with records, in milliseconds. */
 const RECORDS_TIMEOUT_MILLISECONDS = 5_000
@@ -22,18 +24,29 @@
     private readonly _membership: Membership,
     private readonly _keeper: StateKeeper,
     private readonly _relay: PlatformLog,
+    private readonly _channels: PeerChannels,
+    private readonly _services: readonly PeerService[],
     private readonly _clock: Clock
   ) {}
 
   /** Offers everything over a channel. */
   offerOn (channel: PeerChannel): void {
     channel.offer('heartbeat', Heartbeat, async heartbeat => {
+      this._channels.note(heartbeat.entry.member, channel)
       this._membership.observe([heartbeat.entry])
       if (heartbeat.entry.offset > this._keeper.state.offset && this.isBehind()) void this.catchUp(channel)
       return this._answer(heartbeat)
     })
     channel.offer('records', z.object({ after: z.number().int().min(0) }), async ({ after }) => this._keeper.since(after))
     channel.offer('append', RelayedAppend, async relayed => this._append(relayed))
+    for (const service of this._services) service.offerOn(channel)
+  }
+
+  /** Takes the accounts of an answer that came over a channel, the other end's own first. */
+  takeAnswer (entries: HeartbeatAnswer['entries'], channel: PeerChannel): void {
+    const [peer] = entries
+    if (peer) this._channels.note(peer.member, channel)
+    this._membership.observe(entries)
   }
 
   /** Whether records should come from peers: the log gives none, so they are the only way. */
--- a/src/peers/peer-task.ts
+++ b/src/peers/peer-task.ts
@@ -97,7 +97,7 @@
     }
     this._backoff.reset()
     const { entries } = answer.extract() as HeartbeatAnswer
-    this._membership.observe(entries)
+    this._methods.takeAnswer(entries, channel)
     const [peer] = entries
     this._entry = peer ?? null
     if (peer && peer.offset > this._keeper.state.offset && this._methods.isBehind()) await this._methods.catchUp(channel)
--- a/tests/fleet-faults.test.ts
+++ b/tests/fleet-faults.test.ts
@@ -74,6 +74,25 @@
     }
   })
 
+  it('down for all while the whole limit is at one entry VM: the other borrows what stands idle, and the limit holds', async () => {
+    await twoZones(6)
+    for (const endpoint of fleet.endpoints.values()) endpoint.faults = { ...endpoint.faults, slowMilliseconds: 30 }
+    const { state } = fleet.processes.get('control-a')?.tree.keeper ?? {}
+    const holder = { member: 'entry-b', incarnation: state?.members.get('entry-b')?.incarnation ?? '' }
+    await fleet.until(async () => {
+      await Promise.all(Array.from({ length: 24 }, (_, index) => send('b', `fill-${index}`)))
+      return fleet.processes.get('control-a')?.tree.keeper.state.unitsHeldBy(holder, 'team') === 6
+    }, 'all units at b')
+    fleet.platform.faults = { ...fleet.platform.faults, isDown: true }
+    let peak = 0
+    const watch = setInterval(() => { peak = Math.max(peak, running()) }, 1)
+    const answers = await Promise.all(Array.from({ length: 60 }, (_, index) => send('a', `borrowed-${index}`)))
+    await Promise.all(Array.from({ length: 40 }, (_, index) => send(index % 2 === 0 ? 'a' : 'b', `both-${index}`)))
+    clearInterval(watch)
+    expect(new Set(answers.map(answer => answer.outcome ?? answer.status))).toEqual(new Set([200]))
+    expect(peak).toBeLessThanOrEqual(6)
+  })
+
   it('losing answers and being slow costs no change and makes none twice', async () => {
     await twoZones()
     fleet.platform.faults = { ...fleet.platform.faults, lostAppendAnswers: 5, slowMilliseconds: 50 }
--- a/tests/fold.test.ts
+++ b/tests/fold.test.ts
@@ -148,6 +148,12 @@
     expect([log.state.unitsHeldBy(holder('entry-a'), 'team'), log.state.unitsHeldBy(holder('entry-b'), 'team')]).toEqual([7, 3])
   })
 
+  it('are divided among the living entry processes when a team is new', () => {
+    const log = author()
+    log.accept({ kind: 'put-team', value: { name: 'new', share: 1, upperLimit: 9 }, expectedVersion: 0 })
+    expect([log.state.unitsHeldBy(holder('entry-a'), 'new'), log.state.unitsHeldBy(holder('entry-b'), 'new')]).toEqual([4, 4])
+  })
+
   it('changes nothing when an append is repeated', () => {
     const log = author()
     log.accept(take('entry-a', 1, 4))
@@ -169,7 +175,7 @@
     log.accept(take('entry-b', 1, 10))
     expect(log.state.grantedUnits('team')).toBe(10)
     expect(log.state.unitsHeldBy(holder('entry-b'), 'team')).toBe(0)
-    log.time += log.state.longestTimeoutMilliseconds + 1_000
+    log.time += log.state.longestTimeoutMilliseconds + 31_000
     log.accept({ kind: 'return-grants', holder: holder('entry-a') }, take('entry-b', 2, 10))
     expect(log.state.unitsHeldBy(holder('entry-b'), 'team')).toBe(10)
   })
