Choose endpoints by latency too; put an ejected endpoint on trial; measure limits, claims and failures

After a breaker's time was up, all waiting requests went to the dead endpoint at once. Change: load times recent peak latency that decays, two distinct draws; one request on trial; no pause after an attempt of which nothing was sent; queues are woken each time grants are looked at.

--- a/benchmarks/fleet-simulation.ts
+++ b/benchmarks/fleet-simulation.ts
@@ -107,7 +107,7 @@
   private async _free (deadline: number): Promise<{ running: number } | undefined> {
     while (this.clock.now() < deadline) {
       const candidates = this._endpoints.map(({ running }, index) => ({
-        virtualMachine: String(index), availabilityZone: 'a', slots: this._options.slotsPerEndpoint, inFlight: running, reportedRunning: running, isEjected: false
+        virtualMachine: String(index), availabilityZone: 'a', slots: this._options.slotsPerEndpoint, inFlight: running, reportedRunning: running, latencyMilliseconds: 0, isEjected: false
       }))
       const chosen = this._chooser.choose(candidates, new Set()).extract()
       if (chosen) return this._endpoints[Number(chosen.virtualMachine)]
--- a/benchmarks/run-benchmarks.ts
+++ b/benchmarks/run-benchmarks.ts
@@ -3,9 +3,12 @@
  */
 import Table from 'cli-table3'
 import type { Benchmark } from './benchmark.js'
+import { ClaimsBenchmark } from './claims-benchmark.js'
 import { DispatchBenchmark } from './dispatch-benchmark.js'
+import { FailuresBenchmark } from './failures-benchmark.js'
 import { GoodputBenchmark } from './goodput-benchmark.js'
 import { InForceBenchmark } from './in-force-benchmark.js'
+import { LimitsBenchmark } from './limits-benchmark.js'
 import { MemberCostBenchmark } from './member-cost-benchmark.js'
 import { SharesBenchmark } from './shares-benchmark.js'
 import { StateSizeBenchmark } from './state-size-benchmark.js'
@@ -14,6 +17,9 @@
   new DispatchBenchmark(),
   new SharesBenchmark(),
   new GoodputBenchmark(),
+  new LimitsBenchmark(),
+  new ClaimsBenchmark(),
+  new FailuresBenchmark(),
   new InForceBenchmark(),
   new MemberCostBenchmark(),
   new StateSizeBenchmark()
--- a/src/endpoints/circuit-breaker.ts
+++ b/src/endpoints/circuit-breaker.ts
@@ -7,6 +7,9 @@
   /** Whether the endpoint is left out at `now` (epoch milliseconds). */
   abstract isOpen (now: number): boolean
 
+  /** Whether the endpoint is on trial: it may have one request at a time until one is answered. */
+  abstract isOnTrial (now: number): boolean
+
   /** Notes that the endpoint answered. */
   abstract recordSuccess (): void
 
--- a/src/endpoints/consecutive-failure-breaker.ts
+++ b/src/endpoints/consecutive-failure-breaker.ts
@@ -15,8 +15,8 @@
 
 /**
  * Opens after some failures in a row, for a time that doubles with each further failure
- * and is spread by jitter. Once the time has passed, requests are let through again, and
- * one failure opens it anew.
+ * and is spread by jitter. Once the time has passed the endpoint is on trial, and one
+ * failure opens the breaker anew.
  */
 export class ConsecutiveFailureBreaker extends CircuitBreaker {
   private _failures = 0
@@ -30,6 +30,10 @@
     return now < this._openUntil
   }
 
+  override isOnTrial (now: number): boolean {
+    return this._failures >= FAILURES_TO_OPEN && !this.isOpen(now)
+  }
+
   override recordSuccess (): void {
     this._failures = 0
     this._openUntil = 0
--- a/src/endpoints/endpoint-candidate.ts
+++ b/src/endpoints/endpoint-candidate.ts
@@ -12,6 +12,8 @@
   readonly inFlight: number
   /** Requests of all processes that it had at its last answer. */
   readonly reportedRunning: number
+  /** Time that its answers have taken lately, in milliseconds; 0 if it has given none. */
+  readonly latencyMilliseconds: number
   /** Whether outcomes speak against it. */
   readonly isEjected: boolean
 }
--- a/src/endpoints/endpoint-supervisor.ts
+++ b/src/endpoints/endpoint-supervisor.ts
@@ -10,6 +10,7 @@
 import { AttemptFailure } from './attempt-failure.js'
 import type { CircuitBreaker } from './circuit-breaker.js'
 import type { EndpointAnswer } from './endpoint-answer.js'
+import { DecayingPeak } from './decaying-peak.js'
 import { EndpointConnectionTask } from './endpoint-connection-task.js'
 import { ENDPOINT_HEADERS } from './endpoint-headers.js'
 import type { EndpointProber } from './endpoint-prober.js'
@@ -20,6 +21,7 @@
 export class EndpointSupervisor extends Supervisor {
   private readonly _connections = new Set<EndpointConnectionTask>()
   private readonly _probe: EndpointProbeTask
+  private readonly _latency = new DecayingPeak()
   private _inFlight = 0
   private _reportedRunning = 0
 
@@ -53,7 +55,13 @@
 
   /** Whether outcomes speak against sending anything. */
   get isEjected (): boolean {
-    return this._breaker.isOpen(this.clock.now())
+    const now = this.clock.now()
+    return this._breaker.isOpen(now) || (this._breaker.isOnTrial(now) && this._inFlight > 0)
+  }
+
+  /** Time that its answers have taken lately, in milliseconds; 0 before the first. */
+  get latencyMilliseconds (): number {
+    return this._latency.at(this.clock.now())
   }
 
   /** Whether it answers neither requests nor probes. */
@@ -76,7 +84,9 @@
     if (this.isStopping) return Left(new AttemptFailure('not-sent', this.virtualMachine, 'endpoint has left'))
     const connection = this._idleConnection() ?? this._open()
     this._inFlight += 1
+    const startedAt = this.clock.now()
     const result = await connection.exchange(request)
+    this._latency.record(this.clock.now() - startedAt, this.clock.now())
     result.ifLeft(failure => this._recordFailure(failure)).ifRight(answer => this._recordAnswer(answer))
     if (result.isLeft()) this._inFlight -= 1
     return result
--- a/src/endpoints/pool-view.ts
+++ b/src/endpoints/pool-view.ts
@@ -62,6 +62,7 @@
       slots: this._slots(pool, machine),
       inFlight: endpoint.inFlight,
       reportedRunning: endpoint.reportedRunning,
+      latencyMilliseconds: endpoint.latencyMilliseconds,
       isEjected: endpoint.isEjected || endpoint.isSuspected
     }]
   }
--- a/src/endpoints/power-of-two-chooser.ts
+++ b/src/endpoints/power-of-two-chooser.ts
@@ -9,6 +9,9 @@
 /** Smallest part of a pool that ejections must leave; below it they are ignored. */
 const MINIMUM_HEALTHY_PART = 0.5
 
+/** Latency below which endpoints count as equally fast, in milliseconds. */
+const LOWEST_LATENCY_MILLISECONDS = 5
+
 /**
  * Draws two endpoints with a free slot and takes the less loaded one. Two draws avoid both
  * the pile-up of always taking the least loaded, which all entry VMs see alike, and the
@@ -26,13 +29,18 @@
     const free = eligible.filter(candidate => candidate.inFlight < candidate.slots)
     if (free.length === 0) return Nothing
     const first = this._draw(free)
-    const second = this._draw(free)
+    const second = this._draw(free.length > 1 ? free.filter(candidate => candidate !== first) : free)
     return Just(this._load(first) <= this._load(second) ? first : second)
   }
 
-  /** Part of the slots in use; the endpoint's own report counts what other entry VMs sent. */
+  /**
+   * Part of the slots in use once the request is added, times the recent latency. The
+   * endpoint's own report counts what other entry VMs sent. Below
+   * some milliseconds all count as equally fast.
+   */
   protected _load (candidate: EndpointCandidate): number {
-    return Math.max(candidate.inFlight, candidate.reportedRunning) / candidate.slots
+    const running = 1 + Math.max(candidate.inFlight, candidate.reportedRunning)
+    return running / candidate.slots * Math.max(LOWEST_LATENCY_MILLISECONDS, candidate.latencyMilliseconds)
   }
 
   /** Ejection never empties a pool: when most look unwell, the fault is likelier on the way or in the work. */
--- a/src/entry/grant-task.ts
+++ b/src/entry/grant-task.ts
@@ -63,6 +63,8 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this._step(this._plans(), signal)
+      // Units may also have come from others, by their records.
+      this._wakeQueues()
       await this._clock.sleepUntil(this._clock.now() + GRANT_INTERVAL_MILLISECONDS, signal).catch(() => {})
     }
     await this._giveAllBack()
@@ -93,6 +95,9 @@
     this._undecided = null
     this._ledger.releaseWithheld()
     this._metrics.count('grants.adjustments')
+  }
+
+  private _wakeQueues (): void {
     for (const queue of this._queues.all()) queue.wake()
   }
 
--- a/src/entry/request-dispatcher.ts
+++ b/src/entry/request-dispatcher.ts
@@ -71,7 +71,9 @@
       if (!failure.isNotRun) progress.isInDoubt = true
       if (!this._mayRetry(failure, request, outgoing, progress, giveUp.running)) return Left(this._failureOf(failure, request, progress))
       this._metrics.count('requests.retries', 1, failure.kind)
-      await this._clock.sleepUntil(this._retries.pauseDeadline(progress.attempts), giveUp.running).catch(() => {})
+      // An attempt of which nothing was sent has cost nobody anything; the next needn't wait.
+      const pauseDeadline = failure.kind === 'not-sent' ? this._clock.now() : this._retries.pauseDeadline(progress.attempts)
+      await this._clock.sleepUntil(pauseDeadline, giveUp.running).catch(() => {})
     }
   }
 
--- a/src/main/environment.ts
+++ b/src/main/environment.ts
@@ -9,6 +9,7 @@
 import type { Clock } from '../supervision/clock.js'
 import type { IdentifierSource } from '../supervision/identifier-source.js'
 import type { RandomSource } from '../supervision/random-source.js'
+import type { Policies } from './policies.js'
 
 /** The outside of a process; tests put fakes in its place. */
 export interface Environment {
@@ -20,6 +21,8 @@
   readonly platformLog: PlatformLog
   readonly virtualMachineControl: VirtualMachineControl
   readonly prober: EndpointProber
+  /** Default: the system's own policies. */
+  readonly policies?: Policies
   /** Begins a planned stop of the process. */
   readonly requestStop: (reason: string) => void
 }
--- a/src/main/process-tree.ts
+++ b/src/main/process-tree.ts
@@ -84,7 +84,7 @@
 
   /** The tree of `samphireglade-entry`. */
   entry (settings: EntrySettings): Supervisor {
-    const { clock, random, identifiers, metrics, prober } = this._environment
+    const { clock, random, identifiers, metrics, prober, policies = {} } = this._environment
     const { keeper } = this
     const root = this._supervisor('entry')
     const self = this._memberOf(settings, 'entry')
@@ -103,14 +103,15 @@
     const services: PeerService[] = []
     const core = this._core(root, settings, self, account, channels, services)
     const others = () => core.membership.livingEntries()
-    const grants = new GrantTask(holder, ledger, queues, new DemandGrantPolicy(), others, keeper, core.submitter, identifiers, clock, metrics)
+    const grants = new GrantTask(holder, ledger, queues, policies.grants ?? new DemandGrantPolicy(), others, keeper, core.submitter, identifiers, clock, metrics)
     account.connect(grants)
     const lending = new LoanTask(loans, ledger, queues, core.membership, channels, keeper, identifiers, clock)
     services.push(lending)
     const claims = new ClaimTask(holder, keeper, core.submitter, identifiers, clock, metrics)
-    const division = new ShareDivisionTask(self.id, queues, view, new DemandSlotDivision(), others, keeper, clock)
-    const chooser = new PowerOfTwoChooser(random)
-    const dispatcher = new RequestDispatcher(queues, view, directory, chooser, new BudgetedRetryPolicy(clock, random), clock, random, metrics)
+    const division = new ShareDivisionTask(self.id, queues, view, policies.division ?? new DemandSlotDivision(), others, keeper, clock)
+    const chooser = policies.chooser ?? new PowerOfTwoChooser(random)
+    const retries = policies.retries ?? new BudgetedRetryPolicy(clock, random)
+    const dispatcher = new RequestDispatcher(queues, view, directory, chooser, retries, clock, random, metrics)
     const admission = new ConfiguredAdmission(keeper, new KeyVerifier(), () => guard.acceptsKnownKeys())
     const service = new RequestService(admission, claims, dispatcher, clock, metrics)
     const requests = this._supervisor('caller-requests')
--- a/tests/support/fake-platform-log.ts
+++ b/tests/support/fake-platform-log.ts
@@ -19,6 +19,8 @@
   /** The next so many appends are lost with their answers. */
   lostAppends = 0
   appends = 0
+  /** Time that an append takes, in milliseconds. */
+  latencyMilliseconds = 0
   private _nextOffset = 1
   private readonly _appended = new Notifier()
 
@@ -31,6 +33,7 @@
   }
 
   override async append (records: readonly LogRecord[]): Promise<Either<PlatformError, void>> {
+    if (this.latencyMilliseconds > 0) await this._clock.sleepUntil(this._clock.now() + this.latencyMilliseconds)
     if (this.isDown) return Left(new PlatformError('unreachable', 'down'))
     if (this.lostAppends > 0) {
       this.lostAppends -= 1
--- a/tests/support/wire-fleet.ts
+++ b/tests/support/wire-fleet.ts
@@ -8,6 +8,7 @@
 import { createLogger, transports } from 'winston'
 import { AdministrationClient } from '../../src/command-line/administration-client.js'
 import { HttpEndpointProber } from '../../src/endpoints/http-endpoint-prober.js'
+import type { Policies } from '../../src/main/policies.js'
 import { ProcessTree } from '../../src/main/process-tree.js'
 import { MemoryMetrics } from '../../src/observability/memory-metrics.js'
 import { HttpCaller } from '../../src/platform/http-caller.js'
@@ -76,7 +77,7 @@
   }
 
   /** Starts an entry or control process in a zone. */
-  async addProcess (role: 'entry' | 'control', zone: string, options: { platformPort?: number, secret?: string, id?: string } = {}): Promise<WireProcess> {
+  async addProcess (role: 'entry' | 'control', zone: string, options: { platformPort?: number, secret?: string, id?: string, policies?: Policies } = {}): Promise<WireProcess> {
     const name = options.id ?? `${role}-${zone}`
     const address = { host: '127.0.0.1', port: await freePort() }
     const peerAddress = { host: '127.0.0.1', port: await freePort() }
@@ -91,6 +92,7 @@
       platformLog: new HttpPlatformLog(caller),
       virtualMachineControl: new HttpVirtualMachineControl(caller),
       prober: new HttpEndpointProber(),
+      ...(options.policies ? { policies: options.policies } : {}),
       requestStop: () => {}
     })
     const common = {
