Place tasks on workers: leases with fencing, shares, limits, urgency, quarantine

Found on the way: a zone that has only workers could not be taken out; a team's idle request units kept its tasks from ever starting (test over the wire); the capacity task took the square of the fleet in each step (the 6,912-VM rollout benchmark did not end in 200 s). Change: workers and tasks in the fold, placement under a lease, the worker interface and its stand-in, tasks over the caller interface; idle units go back when tasks wait; spare VMs of pools are counted once a step. Ruled out: quarantining workers by their failures alone, which bad tasks would turn on good workers.

--- a/benchmarks/run-benchmarks.ts
+++ b/benchmarks/run-benchmarks.ts
@@ -10,6 +10,7 @@
 import { InForceBenchmark } from './in-force-benchmark.js'
 import { LimitsBenchmark } from './limits-benchmark.js'
 import { MemberCostBenchmark } from './member-cost-benchmark.js'
+import { PlacementBenchmark } from './placement-benchmark.js'
 import { RolloutBenchmark } from './rollout-benchmark.js'
 import { SharesBenchmark } from './shares-benchmark.js'
 import { StateSizeBenchmark } from './state-size-benchmark.js'
@@ -23,6 +24,7 @@
   new ClaimsBenchmark(),
   new FailuresBenchmark(),
   new RolloutBenchmark(),
+  new PlacementBenchmark(),
   new ZoneBenchmark(),
   new InForceBenchmark(),
   new MemberCostBenchmark(),
--- a/src/control/administration-routes.ts
+++ b/src/control/administration-routes.ts
@@ -12,6 +12,7 @@
 import { ListAvailabilityZonesRoute } from './list-availability-zones-route.js'
 import { ListKeysRoute } from './list-keys-route.js'
 import { ListObjectsRoute } from './list-objects-route.js'
+import { ListTasksRoute } from './list-tasks-route.js'
 import { ListWavesRoute } from './list-waves-route.js'
 import { MoveRoute } from './move-route.js'
 import type { ObjectCollection } from './object-collection.js'
@@ -23,6 +24,7 @@
 import { ReadChangeRoute } from './read-change-route.js'
 import { ReadObjectRoute } from './read-object-route.js'
 import { ReadStateRoute } from './read-state-route.js'
+import { ReleaseWorkerRoute } from './release-worker-route.js'
 import { RemoveObjectRoute } from './remove-object-route.js'
 import { SetAvailabilityZoneRoute } from './set-availability-zone-route.js'
 import { SetWavePhaseRoute } from './set-wave-phase-route.js'
@@ -31,13 +33,14 @@
 import { VirtualMachineCollection } from './virtual-machine-collection.js'
 import { WavePlanner } from './wave-planner.js'
 import { WithdrawKeyRoute } from './withdraw-key-route.js'
+import { WorkerCollection } from './worker-collection.js'
 
 /** Makes the routes of one control process. */
 export function administrationRoutes (parts: ControlParts, membership: Membership): AdministrationRoute[] {
   const { keeper, clock } = parts
   const submitter = new ChangeSubmitter(parts)
   const progress = new ChangeProgress(membership)
-  const collections = [new PoolCollection(), new VirtualMachineCollection(), new TeamCollection(), new QueueCollection(), new PresetCollection()]
+  const collections = [new PoolCollection(), new VirtualMachineCollection(), new TeamCollection(), new QueueCollection(), new PresetCollection(), new WorkerCollection()]
   const objectRoutes = (collections as unknown as ObjectCollection[]).flatMap(collection => [
     new ListObjectsRoute(collection, keeper),
     new ReadObjectRoute(collection, keeper),
@@ -59,6 +62,8 @@
     new SetWavePhaseRoute('pause', keeper, submitter),
     new SetWavePhaseRoute('resume', keeper, submitter),
     new SetWavePhaseRoute('abort', keeper, submitter),
+    new ListTasksRoute(keeper),
+    new ReleaseWorkerRoute(keeper, submitter),
     new PutCutOffPolicyRoute(keeper, submitter),
     new ForgetMemberRoute(keeper, submitter),
     new ReadChangeRoute(keeper, progress, clock),
--- a/src/control/capacity-task.ts
+++ b/src/control/capacity-task.ts
@@ -74,7 +74,8 @@
   }
 
   private async _carryOn (wave: Wave, proof: LeaseProof): Promise<void> {
-    const reason = this._troubleOf(wave)
+    const room = this._roomByPool()
+    const reason = this._troubleOf(wave, room)
     if (reason) {
       await this._setPhase(wave, 'paused', reason, proof)
       return
@@ -87,10 +88,10 @@
       await this._setPhase(wave, 'finished', '', proof)
       return
     }
-    await this._startMore(wave, open, proof)
+    await this._startMore(wave, open, room, proof)
   }
 
-  private async _startMore (wave: Wave, open: readonly string[], proof: LeaseProof): Promise<void> {
+  private async _startMore (wave: Wave, open: readonly string[], roomByPool: Map<string, number>, proof: LeaseProof): Promise<void> {
     const { virtualMachines } = this.parts.keeper.state
     const underWay = open.filter(id => virtualMachines.get(id)?.operation?.wave === wave.name).length
     let room = Math.min(MAXIMUM_STARTS, wave.maximumAtOnce - underWay)
@@ -98,6 +99,10 @@
       if (room <= 0) return
       const machine = virtualMachines.get(id)
       if (!machine || machine.operation) continue
+      const { pool } = machine.value
+      const poolRoom = roomByPool.get(pool) ?? 0
+      if (poolRoom <= 0 && this.parts.keeper.state.isServing(machine)) continue
+      roomByPool.set(pool, poolRoom - 1)
       const operation: VirtualMachineOperation = {
         kind: 'maintenance', toPool: machine.value.pool, intentId: `wave-${wave.name}-${id}`, wave: wave.name
       }
@@ -105,8 +110,19 @@
     }
   }
 
+  /** VMs that each pool can spare now, counted once for a whole step: asking for each VM anew would take the square of the fleet. */
+  private _roomByPool (): Map<string, number> {
+    const { state } = this.parts.keeper
+    const room = new Map([...state.pools.keys()].map(pool => [pool, -state.minimumServing(pool)]))
+    for (const machine of state.virtualMachines.values()) {
+      const { pool } = machine.value
+      if (state.isServing(machine)) room.set(pool, (room.get(pool) ?? 0) + 1)
+    }
+    return room
+  }
+
   /** Why a wave must stop by itself, or empty. */
-  private _troubleOf (wave: Wave): string {
+  private _troubleOf (wave: Wave, room: ReadonlyMap<string, number>): string {
     const { keeper, clock } = this.parts
     const { state } = keeper
     for (const id of wave.order) {
@@ -116,8 +132,8 @@
       }
     }
     for (const pool of this._poolsOf(wave)) {
-      const serving = state.servingIn(pool).length
       const minimum = state.minimumServing(pool)
+      const serving = minimum + (room.get(pool) ?? 0)
       if (serving < minimum) return `pool ${pool} has ${serving} VMs serving; its availability budget asks for ${minimum}`
     }
     return ''
--- a/src/control/fewest-moves-planner.ts
+++ b/src/control/fewest-moves-planner.ts
@@ -67,7 +67,9 @@
     for (const machine of state.virtualMachines.values()) {
       if (machine.operation || machine.isAbsent) continue
       const { pool } = machine.value
-      movable.set(pool, [...(movable.get(pool) ?? []), machine])
+      const present = movable.get(pool)
+      if (present) present.push(machine)
+      else movable.set(pool, [machine])
     }
     return movable
   }
--- a/src/control/list-availability-zones-route.ts
+++ b/src/control/list-availability-zones-route.ts
@@ -7,7 +7,7 @@
 import type { AdministrationResult } from './administration-result.js'
 import { AdministrationRoute } from './administration-route.js'
 
-/** `GET /availability-zones`: every zone with a VM or process, and whether it is out. */
+/** `GET /availability-zones`: every zone with a VM, worker or process, and whether it is out. */
 export class ListAvailabilityZonesRoute extends AdministrationRoute {
   override readonly method = 'GET'
   override readonly path = '/availability-zones'
@@ -22,6 +22,7 @@
     const machines = [...state.virtualMachines.values()]
     const names = new Set([
       ...machines.map(machine => machine.value.availabilityZone),
+      ...[...state.workers.values()].map(worker => worker.value.availabilityZone),
       ...[...state.members.values()].map(member => member.availabilityZone),
       ...state.availabilityZones.keys()
     ])
--- a/src/control/wave-planner.ts
+++ b/src/control/wave-planner.ts
@@ -39,7 +39,9 @@
     const place = ({ value }: VirtualMachineState): string => `${value.availabilityZone}/${value.rack}/${value.id}`
     const pools = new Map<string, VirtualMachineState[]>()
     for (const machine of [...machines].sort((left, right) => place(left).localeCompare(place(right)))) {
-      pools.set(machine.value.pool, [...(pools.get(machine.value.pool) ?? []), machine])
+      const present = pools.get(machine.value.pool)
+      if (present) present.push(machine)
+      else pools.set(machine.value.pool, [machine])
     }
     return pools
   }
--- a/src/entry/demand-grant-policy.ts
+++ b/src/entry/demand-grant-policy.ts
@@ -17,19 +17,28 @@
     const free = limit - granted
     const wanted = Math.max(running + waiting, this._reserve(situation)) - held
     if (wanted > 0 && free > 0) return { adjust: Math.min(wanted, free), pass: null }
-    return { adjust: 0, pass: this._pass(situation) }
+    const pass = this._pass(situation)
+    if (pass) return { adjust: 0, pass }
+    return { adjust: -this._forTasks(situation, free), pass: null }
   }
 
   /**
    * Units kept without work: an even part while nobody lacks any, else one where the team
    * had work lately and none where it had not, so that nothing of the limit lies unused.
    */
-  private _reserve ({ limit, members, isActive, wantedByOthers }: GrantSituation): number {
+  private _reserve ({ limit, members, isActive, tasksWaiting, wantedByOthers }: GrantSituation): number {
     const even = Math.floor(limit / Math.max(1, members))
-    if (wantedByOthers.size === 0) return even
+    if (wantedByOthers.size === 0 && tasksWaiting === 0) return even
     return isActive ? Math.min(even, 1) : 0
   }
 
+  /** Idle units given back because tasks wait that what is free doesn't cover. */
+  private _forTasks (situation: GrantSituation, free: number): number {
+    const { held, running, waiting, tasksWaiting } = situation
+    const idle = held - Math.max(running + waiting, this._reserve(situation))
+    return Math.max(0, Math.min(idle, tasksWaiting - free))
+  }
+
   /** After a lowered limit: idle units above this process's part of the new one. */
   private _cutBack ({ limit, granted, held, running }: GrantSituation): number {
     const part = Math.floor(held * limit / granted)
--- a/src/entry/grant-situation.ts
+++ b/src/entry/grant-situation.ts
@@ -19,6 +19,8 @@
   readonly isActive: boolean
   /** Number of living entry processes, this one among them. */
   readonly members: number
+  /** Tasks of the team that wait for a worker and need a unit each. */
+  readonly tasksWaiting: number
   /** Units that other processes could use, by process. */
   readonly wantedByOthers: ReadonlyMap<string, number>
 }
--- a/src/entry/grant-task.ts
+++ b/src/entry/grant-task.ts
@@ -44,6 +44,8 @@
   override readonly name = 'grants'
   private _undecided: { command: Command, id: string } | null = null
   private readonly _activeUntil = new Map<string, number>()
+  private _tasksWaiting = new Map<string, number>()
+  private _tasksCountedAt = -1
 
   constructor (
     private readonly _self: Holder,
@@ -128,6 +130,7 @@
     const others = this._others()
     const waiting = this._waitingByTeam()
     const { state } = this._keeper
+    const tasksWaiting = this._countTasksWaiting()
     const members = [...state.members.values()].filter(member => member.role === 'entry').length
     return [...state.teams.keys()].map(team => ({
       team,
@@ -139,6 +142,7 @@
         // What is lent is in use elsewhere and cannot be given away.
         running: this._ledger.running(team) + this._ledger.lent(team),
         waiting: waiting.get(team) ?? 0,
+        tasksWaiting: tasksWaiting.get(team) ?? 0,
         isActive: this._isActive(team, waiting.get(team) ?? 0),
         members,
         wantedByOthers: this._wantedBy(others, team)
@@ -146,6 +150,18 @@
     }))
   }
 
+  /** Waiting tasks by team, counted anew only when the state has moved. */
+  private _countTasksWaiting (): ReadonlyMap<string, number> {
+    const { state } = this._keeper
+    if (this._tasksCountedAt === state.offset) return this._tasksWaiting
+    this._tasksCountedAt = state.offset
+    this._tasksWaiting = new Map()
+    for (const { team, phase } of state.tasks.values()) {
+      if (team !== null && phase === 'waiting') this._tasksWaiting.set(team, (this._tasksWaiting.get(team) ?? 0) + 1)
+    }
+    return this._tasksWaiting
+  }
+
   private _isActive (team: string, waiting: number): boolean {
     const now = this._clock.now()
     if (waiting + this._ledger.running(team) > 0) this._activeUntil.set(team, now + ACTIVE_MILLISECONDS)
--- a/src/entry/refusal.ts
+++ b/src/entry/refusal.ts
@@ -13,6 +13,7 @@
   'key-invalid': [401, 'The key is missing, unknown or withdrawn'],
   'key-not-for-queue': [403, 'The key doesn\'t open this queue'],
   'queue-unknown': [404, 'There is no such queue'],
+  'task-unknown': [404, 'There is no such task'],
   'idempotency-key-reused': [422, 'The idempotency key was used for another request'],
   'body-too-large': [413, 'The request body is too large'],
   'headers-too-large': [431, 'The request headers are too large'],
--- a/src/entry/request-service.ts
+++ b/src/entry/request-service.ts
@@ -16,6 +16,7 @@
 import { Refusal } from './refusal.js'
 import type { RequestDispatcher } from './request-dispatcher.js'
 import type { ServedAnswer } from './served-answer.js'
+import type { TaskService } from './task-service.js'
 
 /** Largest answer body, in bytes, that is kept for a repeated arrival. */
 const KEPT_ANSWER_BYTES = 4_096
@@ -28,6 +29,7 @@
     private readonly _admission: Admission,
     private readonly _claims: ClaimTask,
     private readonly _dispatcher: RequestDispatcher,
+    private readonly _tasks: TaskService,
     private readonly _clock: Clock,
     private readonly _metrics: Metrics
   ) {}
@@ -49,6 +51,7 @@
     const { method, path, headers } = request
     const outgoing = { method, path, headers, body: body.extract() as OutgoingRequest['body'] }
 
+    if (admitted.queue.kind === 'task') return this._tasks.serve(admitted, outgoing)
     const giveUp = new GiveUp(this._clock, admitted.deadline, callerGone, admitted.isRepeatable)
     const answer = await this._run(admitted, request, outgoing, giveUp)
     this._settleAtEnd(answer, giveUp)
--- a/src/main/daemon.ts
+++ b/src/main/daemon.ts
@@ -13,6 +13,7 @@
 import { HttpCaller } from '../platform/http-caller.js'
 import { HttpPlatformLog } from '../platform/http-platform-log.js'
 import { HttpVirtualMachineControl } from '../platform/http-virtual-machine-control.js'
+import { HttpWorkerControl } from '../platform/http-worker-control.js'
 import type { Finding } from '../schemas/finding.js'
 import type { CommonSettings } from '../settings/common-settings.js'
 import { readSettings } from '../settings/read-settings.js'
@@ -87,6 +88,7 @@
       metrics: settings.metrics ? new StatsdMetrics(settings.metrics.address, id) : new MemoryMetrics(),
       platformLog: new HttpPlatformLog(caller),
       virtualMachineControl: new HttpVirtualMachineControl(caller),
+      workerControl: new HttpWorkerControl(caller),
       prober: new HttpEndpointProber(),
       requestStop
     })
--- a/src/main/environment.ts
+++ b/src/main/environment.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from '../observability/metrics.js'
 import type { PlatformLog } from '../platform/platform-log.js'
 import type { VirtualMachineControl } from '../platform/virtual-machine-control.js'
+import type { WorkerControl } from '../platform/worker-control.js'
 import type { Clock } from '../supervision/clock.js'
 import type { IdentifierSource } from '../supervision/identifier-source.js'
 import type { RandomSource } from '../supervision/random-source.js'
@@ -20,6 +21,7 @@
   readonly metrics: Metrics
   readonly platformLog: PlatformLog
   readonly virtualMachineControl: VirtualMachineControl
+  readonly workerControl: WorkerControl
   readonly prober: EndpointProber
   /** Default: the system's own policies. */
   readonly policies?: Policies
--- a/src/main/process-tree.ts
+++ b/src/main/process-tree.ts
@@ -7,10 +7,12 @@
 import { administrationRoutes } from '../control/administration-routes.js'
 import { CapacityTask } from '../control/capacity-task.js'
 import type { ControlParts } from '../control/control-parts.js'
+import { FairPlacement } from '../control/fair-placement.js'
 import { FewestMovesPlanner } from '../control/fewest-moves-planner.js'
 import { MemberSweepTask } from '../control/member-sweep-task.js'
 import { OperationTask } from '../control/operation-task.js'
 import { OperatorTokens } from '../control/operator-tokens.js'
+import { PlacementTask } from '../control/placement-task.js'
 import { SnapshotTask } from '../control/snapshot-task.js'
 import { EndpointDirectoryTask } from '../endpoints/endpoint-directory-task.js'
 import { PoolView } from '../endpoints/pool-view.js'
@@ -32,6 +34,7 @@
 import { RequestDispatcher } from '../entry/request-dispatcher.js'
 import { RequestService } from '../entry/request-service.js'
 import { ShareDivisionTask } from '../entry/share-division-task.js'
+import { TaskService } from '../entry/task-service.js'
 import { LoggingSupervisorObserver } from '../observability/logging-supervisor-observer.js'
 import type { AccountSource } from '../peers/account-source.js'
 import { FleetSecret } from '../peers/fleet-secret.js'
@@ -113,7 +116,7 @@
     const retries = policies.retries ?? new BudgetedRetryPolicy(clock, random)
     const dispatcher = new RequestDispatcher(queues, view, directory, chooser, retries, clock, random, metrics)
     const admission = new ConfiguredAdmission(keeper, new KeyVerifier(), () => guard.acceptsKnownKeys())
-    const service = new RequestService(admission, claims, dispatcher, clock, metrics)
+    const service = new RequestService(admission, claims, dispatcher, new TaskService(keeper, core.submitter, identifiers), clock, metrics)
     const requests = this._supervisor('caller-requests')
     const isServing = (): boolean => keeper.freshAt > 0
     const server = new CallerServerTask(
@@ -125,7 +128,7 @@
 
   /** The tree of `samphireglade-control`. */
   control (settings: ControlSettings): Supervisor {
-    const { clock, random, identifiers, metrics, prober, virtualMachineControl } = this._environment
+    const { clock, random, identifiers, metrics, prober, virtualMachineControl, workerControl } = this._environment
     const { keeper } = this
     const root = this._supervisor('control')
     const self = this._memberOf(settings, 'control')
@@ -137,6 +140,7 @@
     root.add(new AbsenceTask(parts, membership, prober))
     root.add(new OperationTask(parts, membership, virtualMachineControl, prober))
     root.add(new CapacityTask(parts, new FewestMovesPlanner()))
+    root.add(new PlacementTask(parts, workerControl, new FairPlacement(random)))
     const requests = this._supervisor('administration-requests')
     const { address, operators } = settings.administration
     root.add(requests)
--- a/src/schemas/command.ts
+++ b/src/schemas/command.ts
@@ -11,6 +11,7 @@
 import { MemberCommand } from './member-command.js'
 import { PutCommand } from './put-command.js'
 import { RemoveCommand } from './remove-command.js'
+import { TaskCommand } from './task-command.js'
 import { VirtualMachineCommand } from './virtual-machine-command.js'
 import { WaveCommand } from './wave-command.js'
 
@@ -26,6 +27,7 @@
   GrantCommand,
   LeaseCommand,
   ClaimCommand,
-  WaveCommand
+  WaveCommand,
+  TaskCommand
 ])
 export type Command = z.infer<typeof Command>
--- a/src/schemas/fleet-snapshot.ts
+++ b/src/schemas/fleet-snapshot.ts
@@ -7,6 +7,7 @@
 import { CutOffPolicy } from './cut-off-policy.js'
 import { Decision } from './decision.js'
 import { EpochMilliseconds } from './epoch-milliseconds.js'
+import { FleetTask } from './fleet-task.js'
 import { Lease } from './lease.js'
 import { LimitGrant } from './limit-grant.js'
 import { Member } from './member.js'
@@ -18,6 +19,7 @@
 import { Versioned } from './versioned.js'
 import { VirtualMachineState } from './virtual-machine-state.js'
 import { Wave } from './wave.js'
+import { WorkerState } from './worker-state.js'
 
 /** The state at an offset. Field order is the order in which it is serialized. */
 export const FleetSnapshot = z.object({
@@ -37,6 +39,8 @@
   leases: z.array(Lease),
   claims: z.array(Claim),
   waves: z.array(Wave),
+  workers: z.array(WorkerState),
+  tasks: z.array(FleetTask),
   decisions: z.array(Decision),
   /** Latest author's time folded, which expires claims. */
   latestTime: EpochMilliseconds,
--- a/src/schemas/put-command.ts
+++ b/src/schemas/put-command.ts
@@ -8,6 +8,7 @@
 import { Queue } from './queue.js'
 import { Team } from './team.js'
 import { VirtualMachine } from './virtual-machine.js'
+import { Worker } from './worker.js'
 
 /** Version that the author saw: 0 for "does not exist yet". The fold refuses the command if it is another by then. */
 const expectedVersion = z.number().int().min(0)
@@ -19,6 +20,7 @@
   z.object({ kind: z.literal('put-team'), value: Team, expectedVersion }),
   z.object({ kind: z.literal('put-queue'), value: Queue, expectedVersion }),
   z.object({ kind: z.literal('put-preset'), value: Preset, expectedVersion }),
+  z.object({ kind: z.literal('put-worker'), value: Worker, expectedVersion }),
   z.object({ kind: z.literal('put-cut-off-policy'), value: CutOffPolicy, expectedVersion })
 ])
 export type PutCommand = z.infer<typeof PutCommand>
--- a/src/schemas/queue.ts
+++ b/src/schemas/queue.ts
@@ -12,6 +12,8 @@
   name: Name,
   /** Pool whose VMs serve the queue. */
   pool: Name,
+  /** `request`: answered by an endpoint of the pool; `task`: submitted for workers, `pool` only names the owner. */
+  kind: z.enum(['request', 'task']).default('request'),
   /** Whether callers need no key; such work runs for no team. */
   openToAll: z.boolean().default(false),
   /** Whether methods other than GET, HEAD, PUT and DELETE may be repeated too. */
--- a/src/state/command-handlers.ts
+++ b/src/state/command-handlers.ts
@@ -5,19 +5,25 @@
 import { ActivatePresetHandler } from './activate-preset-handler.js'
 import { AdjustGrantsHandler } from './adjust-grants-handler.js'
 import { AdvanceOperationHandler } from './advance-operation-handler.js'
+import { CancelTasksHandler } from './cancel-tasks-handler.js'
 import type { CommandHandler } from './command-handler.js'
 import { EndMemberHandler } from './end-member-handler.js'
+import { EndTasksHandler } from './end-tasks-handler.js'
 import { GrantKeyHandler } from './grant-key-handler.js'
 import { JoinMemberHandler } from './join-member-handler.js'
+import { ParkTasksHandler } from './park-tasks-handler.js'
+import { PlaceTasksHandler } from './place-tasks-handler.js'
 import { PutCutOffPolicyHandler } from './put-cut-off-policy-handler.js'
 import { PutPoolHandler } from './put-pool-handler.js'
 import { PutPresetHandler } from './put-preset-handler.js'
 import { PutQueueHandler } from './put-queue-handler.js'
 import { PutTeamHandler } from './put-team-handler.js'
 import { PutVirtualMachineHandler } from './put-virtual-machine-handler.js'
+import { PutWorkerHandler } from './put-worker-handler.js'
 import { RecordClaimsHandler } from './record-claims-handler.js'
 import { RecordOutcomesHandler } from './record-outcomes-handler.js'
 import { ReleaseLeaseHandler } from './release-lease-handler.js'
+import { ReleaseWorkerHandler } from './release-worker-handler.js'
 import { RemoveHandler } from './remove-handler.js'
 import { ReturnGrantsHandler } from './return-grants-handler.js'
 import { SetAbsenceHandler } from './set-absence-handler.js'
@@ -25,6 +31,7 @@
 import { SetWavePhaseHandler } from './set-wave-phase-handler.js'
 import { StartOperationHandler } from './start-operation-handler.js'
 import { StartWaveHandler } from './start-wave-handler.js'
+import { SubmitTasksHandler } from './submit-tasks-handler.js'
 import { TakeLeaseHandler } from './take-lease-handler.js'
 import { TransferGrantsHandler } from './transfer-grants-handler.js'
 import { WithdrawKeyHandler } from './withdraw-key-handler.js'
@@ -36,6 +43,7 @@
   'put-team': new PutTeamHandler(),
   'put-queue': new PutQueueHandler(),
   'put-preset': new PutPresetHandler(),
+  'put-worker': new PutWorkerHandler(),
   'put-cut-off-policy': new PutCutOffPolicyHandler(),
   remove: new RemoveHandler(),
   'grant-key': new GrantKeyHandler(),
@@ -55,5 +63,11 @@
   'record-claims': new RecordClaimsHandler(),
   'record-outcomes': new RecordOutcomesHandler(),
   'start-wave': new StartWaveHandler(),
-  'set-wave-phase': new SetWavePhaseHandler()
+  'set-wave-phase': new SetWavePhaseHandler(),
+  'submit-tasks': new SubmitTasksHandler(),
+  'cancel-tasks': new CancelTasksHandler(),
+  'place-tasks': new PlaceTasksHandler(),
+  'end-tasks': new EndTasksHandler(),
+  'park-tasks': new ParkTasksHandler(),
+  'release-worker': new ReleaseWorkerHandler()
 }
--- a/src/state/fleet-state.ts
+++ b/src/state/fleet-state.ts
@@ -6,6 +6,7 @@
 import { CutOffPolicy } from '../schemas/cut-off-policy.js'
 import type { Decision } from '../schemas/decision.js'
 import type { FleetSnapshot } from '../schemas/fleet-snapshot.js'
+import type { FleetTask } from '../schemas/fleet-task.js'
 import type { Holder } from '../schemas/holder.js'
 import type { Lease } from '../schemas/lease.js'
 import type { LimitGrant } from '../schemas/limit-grant.js'
@@ -16,6 +17,7 @@
 import type { Versioned } from '../schemas/versioned.js'
 import type { VirtualMachineState } from '../schemas/virtual-machine-state.js'
 import type { Wave } from '../schemas/wave.js'
+import type { WorkerState } from '../schemas/worker-state.js'
 
 /**
  * Plain data with the few questions that the fold itself asks of it.
@@ -48,6 +50,11 @@
   /** Claims by key, in the order in which they were made. */
   readonly claims = new Map<string, Claim>()
   readonly waves = new Map<string, Wave>()
+  readonly workers = new Map<string, WorkerState>()
+  /** Tasks by id, in the order of their submission. */
+  readonly tasks = new Map<string, FleetTask>()
+  /** Running tasks by team, derived from `tasks`. */
+  readonly runningTasks = new Map<string, number>()
   /** Decisions on operators' changes by id, oldest first. */
   readonly decisions = new Map<string, Decision>()
 
@@ -72,6 +79,11 @@
     for (const lease of snapshot.leases) state.leases.set(lease.name, lease)
     for (const claim of snapshot.claims) state.claims.set(claim.key, claim)
     for (const wave of snapshot.waves) state.waves.set(wave.name, wave)
+    for (const worker of snapshot.workers) state.workers.set(worker.value.id, worker)
+    for (const task of snapshot.tasks) {
+      state.tasks.set(task.id, task)
+      if (task.phase === 'running') state.countRunningTask(task.team, 1)
+    }
     for (const decision of snapshot.decisions) state.decisions.set(decision.id, decision)
     return state
   }
@@ -102,6 +114,8 @@
       leases: [...this.leases.values()],
       claims: [...this.claims.values()],
       waves: [...this.waves.values()],
+      workers: [...this.workers.values()],
+      tasks: [...this.tasks.values()],
       decisions: [...this.decisions.values()]
     }
   }
@@ -115,9 +129,14 @@
     return created
   }
 
-  /** Units of a team's limit that are held, by the living and the dead. */
+  /** Counts a task that starts or ends against its team. */
+  countRunningTask (team: string | null, change: number): void {
+    if (team !== null) this.runningTasks.set(team, (this.runningTasks.get(team) ?? 0) + change)
+  }
+
+  /** Units of a team's limit that are held, by the living and the dead, running tasks among them. */
   grantedUnits (team: string): number {
-    let sum = 0
+    let sum = this.runningTasks.get(team) ?? 0
     for (const grant of this.grants.get(team)?.values() ?? []) sum += grant.units
     return sum
   }
--- a/src/state/remove-handler.ts
+++ b/src/state/remove-handler.ts
@@ -35,6 +35,7 @@
       case 'teams': return state.teams
       case 'queues': return state.queues
       case 'presets': return state.presets
+      case 'workers': return state.workers
     }
   }
 
@@ -45,6 +46,7 @@
       case 'presets': return state.presetInForce?.name === command.name ? ['the preset in force'] : []
       case 'vms': return this._usersOfVirtualMachine(state, command.name)
       case 'queues': return []
+      case 'workers': return [...state.tasks.values()].filter(task => task.phase === 'running' && task.worker === command.name).map(task => `task ${task.id}`)
     }
   }
 
--- a/src/state/set-availability-zone-handler.ts
+++ b/src/state/set-availability-zone-handler.ts
@@ -15,7 +15,7 @@
   override check (state: FleetState, command: AvailabilityZoneCommand, _context: FoldContext): Finding[] {
     const { availabilityZone } = command
     if (!this._isKnown(state, availabilityZone)) {
-      return [{ path: '$.availabilityZone', code: 'not-found', message: `no VM or process is in availability zone ${availabilityZone}` }]
+      return [{ path: '$.availabilityZone', code: 'not-found', message: `no VM, worker or process is in availability zone ${availabilityZone}` }]
     }
     const version = state.availabilityZones.get(availabilityZone)?.version ?? 0
     return [
@@ -34,10 +34,8 @@
 
   private _isKnown (state: FleetState, availabilityZone: string): boolean {
     if (state.availabilityZones.has(availabilityZone)) return true
-    for (const machine of state.virtualMachines.values()) {
-      if (machine.value.availabilityZone === availabilityZone) return true
-    }
-    return [...state.members.values()].some(member => member.availabilityZone === availabilityZone)
+    const machines = [...state.virtualMachines.values(), ...state.workers.values()].map(({ value }) => value)
+    return [...machines, ...state.members.values()].some(place => place.availabilityZone === availabilityZone)
   }
 
   private _checkBudgets (state: FleetState, availabilityZone: string): Finding[] {
--- a/stand-ins/platform-server.ts
+++ b/stand-ins/platform-server.ts
@@ -7,9 +7,11 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import polka from 'polka'
 import { request } from 'undici'
+import { SystemClock } from '../src/supervision/system-clock.js'
 import { JsonBody } from './json-body.js'
 import { PlatformFaults } from './platform-faults.js'
 import { PlatformLogStore } from './platform-log-store.js'
+import { PlayedWorkers } from './played-workers.js'
 
 /** A VM as the platform knows it. */
 interface PlatformMachine {
@@ -24,6 +26,7 @@
 /** Serves the platform's interfaces over HTTP, with fault switches at `/faults`. */
 export class PlatformServer {
   readonly log = new PlatformLogStore()
+  readonly workers = new PlayedWorkers(new SystemClock())
   faults: PlatformFaults = PlatformFaults.parse({})
   private readonly _machines = new Map<string, PlatformMachine>()
   private readonly _history: { time: number, machines: { id: string, state: 'live' | 'leaving' }[] }[] = []
@@ -39,6 +42,9 @@
     application.post('/virtual-machines', (message, response) => this._register(message, response))
     application.delete('/virtual-machines/:id', (message, response) => this._remove(message.params['id'] ?? '', response))
     application.post('/virtual-machines/:id/reboot', (message, response) => this._reboot(message.params['id'] ?? '', message, response))
+    application.get('/workers/reports', (_message, response) => JsonBody.send(response, { reports: this.workers.reports() }))
+    application.post('/workers/:id/runs', (message, response) => this._startRun(message.params['id'] ?? '', message, response))
+    application.post('/workers/:id/stops', (message, response) => this._stopRun(message.params['id'] ?? '', message, response))
     application.post('/faults', (message, response) => this._setFaults(message, response))
     application.get('/statistics', (_message, response) => JsonBody.send(response, { appends: this.log.appends, nextOffset: this.log.nextOffset }))
     const handle = application.handler as unknown as (message: IncomingMessage, response: ServerResponse) => void
@@ -154,6 +160,17 @@
     machine.intents.set(intentId, 'done')
   }
 
+  private async _startRun (worker: string, message: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.workers.start(worker, await JsonBody.read(message) as Parameters<PlayedWorkers['start']>[1])
+    JsonBody.send(response, {})
+  }
+
+  private async _stopRun (worker: string, message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { task, token } = await JsonBody.read(message) as { task: string, token: number }
+    this.workers.stop(worker, task, token)
+    JsonBody.send(response, {})
+  }
+
   private async _setFaults (message: IncomingMessage, response: ServerResponse): Promise<void> {
     this.faults = PlatformFaults.parse({ ...this.faults, ...await JsonBody.read(message) as object })
     this.log.retain(this.faults.retainedRecords)
--- a/tests/caller-interface.test.ts
+++ b/tests/caller-interface.test.ts
@@ -169,3 +169,24 @@
     expect(runs('reused')).toBe(1)
   })
 })
+
+describe('queues of kind task', () => {
+  it('take, list, show and cancel tasks of the caller\'s team, and run them on workers', async () => {
+    await fleet.change('PUT', '/queues/jobs', { pool: 'work', kind: 'task' })
+    await fleet.change('PUT', '/workers/worker-1', { availabilityZone: 'a', rack: 'rack', capacity: { processors: 4, memoryMegabytes: 4_000 } })
+    const size = { processors: 1, memoryMegabytes: 10 }
+    const payload = JSON.stringify({ runMilliseconds: 50 })
+    const submitted = await call('/queues/jobs/tasks', { method: 'POST', body: JSON.stringify({ tasks: [{ id: 'job-1', size, payload }, { id: 'job-2', size: { processors: 99, memoryMegabytes: 1 } }] }) })
+    expect(submitted.status).toBe(201)
+    await fleet.until(async () => JSON.parse((await call('/queues/jobs/tasks/job-1')).text).phase === 'done', 'ran')
+    await fleet.until(async () => JSON.parse((await call('/queues/jobs/tasks/job-2')).text).phase === 'parked', 'parked')
+    expect((await call('/queues/jobs/tasks/cancel', { method: 'POST', body: JSON.stringify({ ids: ['job-2'] }) })).status).toBe(200)
+    expect(JSON.parse((await call('/queues/jobs/tasks')).text).tasks.map((task: { phase: string }) => task.phase)).toEqual(['done', 'cancelled'])
+  })
+
+  it('say everything that is wrong with a document', async () => {
+    const answer = await call('/queues/jobs/tasks', { method: 'POST', body: JSON.stringify({ tasks: [{ id: 'Bad Id', size: { processors: -1, memoryMegabytes: 1 } }] }) })
+    expect(answer).toMatchObject({ status: 400, problem: { outcome: 'not-run' } })
+    expect(answer.problem.detail).toMatch(/tasks\[0\]\.id.*tasks\[0\]\.size\.processors/)
+  })
+})
--- a/tests/policies.test.ts
+++ b/tests/policies.test.ts
@@ -132,15 +132,16 @@
     waiting: fc.integer({ min: 0, max: 40 }),
     isActive: fc.boolean(),
     members: fc.integer({ min: 1, max: 10 }),
+    tasksWaiting: fc.integer({ min: 0, max: 20 }),
     wanted: fc.array(fc.integer({ min: 1, max: 20 }), { maxLength: 3 })
   })
 
   it('gives away only what is idle, and asks only for what is free', () => {
-    fc.assert(fc.property(situation, ({ limit, others, held, running, waiting, isActive, members, wanted }) => {
+    fc.assert(fc.property(situation, ({ limit, others, held, running, waiting, isActive, members, tasksWaiting, wanted }) => {
       const used = Math.min(running, held)
       const granted = held + others
       const wantedByOthers = new Map(wanted.map((units, index) => [`other-${index}`, units]))
-      const plan = new DemandGrantPolicy().plan({ team: 'team', limit, granted, held, running: used, waiting, isActive, members, wantedByOthers })
+      const plan = new DemandGrantPolicy().plan({ team: 'team', limit, granted, held, running: used, waiting, isActive, members, tasksWaiting, wantedByOthers })
       const given = Math.max(0, -plan.adjust) + (plan.pass?.units ?? 0)
       expect(given).toBeLessThanOrEqual(held - used)
       expect(Math.max(0, plan.adjust)).toBeLessThanOrEqual(Math.max(0, limit - granted))
--- a/tests/support/control-fleet.ts
+++ b/tests/support/control-fleet.ts
@@ -5,24 +5,30 @@
 import { Left, Right, type Either } from 'purify-ts/Either'
 import { CapacityTask } from '../../src/control/capacity-task.js'
 import type { ControlParts } from '../../src/control/control-parts.js'
+import { FairPlacement } from '../../src/control/fair-placement.js'
 import { FewestMovesPlanner } from '../../src/control/fewest-moves-planner.js'
 import { OperationTask } from '../../src/control/operation-task.js'
+import { PlacementTask } from '../../src/control/placement-task.js'
 import { EndpointProber } from '../../src/endpoints/endpoint-prober.js'
 import { MemoryMetrics } from '../../src/observability/memory-metrics.js'
 import { Membership } from '../../src/peers/membership.js'
 import { SilentAccountSource } from '../../src/peers/silent-account-source.js'
 import { PlatformError } from '../../src/platform/platform-error.js'
 import { VirtualMachineControl } from '../../src/platform/virtual-machine-control.js'
+import { WorkerControl } from '../../src/platform/worker-control.js'
+import type { WorkerRun } from '../../src/platform/worker-run.js'
 import type { Command } from '../../src/schemas/command.js'
 import type { EndpointHealth } from '../../src/schemas/endpoint-health.js'
 import type { Member } from '../../src/schemas/member.js'
 import type { SocketAddress } from '../../src/schemas/socket-address.js'
 import type { VirtualMachineListing } from '../../src/schemas/virtual-machine-listing.js'
+import type { WorkerReport } from '../../src/schemas/worker-report.js'
 import { CommandSubmitter } from '../../src/state/command-submitter.js'
 import { LogFollowerTask } from '../../src/state/log-follower-task.js'
 import { LogWriterTask } from '../../src/state/log-writer-task.js'
 import { StateKeeper } from '../../src/state/state-keeper.js'
 import { SeededRandomSource } from '../../src/supervision/seeded-random-source.js'
+import { PlayedWorkers } from '../../stand-ins/played-workers.js'
 import { FakeClock } from './fake-clock.js'
 import { FakePlatformLog } from './fake-platform-log.js'
 import { SequentialIdentifierSource } from './sequential-identifier-source.js'
@@ -40,6 +46,7 @@
 /** The platform, with faults. */
 class PlayedPlatform extends VirtualMachineControl {
   readonly machines = new Map<string, PlayedMachine>()
+  readonly idsByPort = new Map<number, string>()
   rebootMilliseconds = 1_000
   /** VMs that never come back from a reboot. */
   readonly lost = new Set<string>()
@@ -84,6 +91,35 @@
   }
 }
 
+/** The platform's workers, with faults on the way to them. */
+class PlayedWorkerControl extends WorkerControl {
+  /** Answers are lost after orders took effect. */
+  losesAnswers = false
+  isDown = false
+
+  constructor (readonly workers: PlayedWorkers) {
+    super()
+  }
+
+  override async start ({ worker, ...run }: WorkerRun): Promise<Either<PlatformError, void>> {
+    return this._order(() => this.workers.start(worker, run))
+  }
+
+  override async stop (worker: string, task: string, token: number): Promise<Either<PlatformError, void>> {
+    return this._order(() => this.workers.stop(worker, task, token))
+  }
+
+  override async reports (): Promise<Either<PlatformError, WorkerReport[]>> {
+    return this.isDown ? Left(new PlatformError('unreachable', 'down')) : Right(this.workers.reports())
+  }
+
+  private _order (order: () => void): Either<PlatformError, void> {
+    if (this.isDown) return Left(new PlatformError('unreachable', 'down'))
+    order()
+    return this.losesAnswers ? Left(new PlatformError('unknown', 'answer lost')) : Right(undefined)
+  }
+}
+
 /** One control process. */
 class PlayedControl {
   readonly keeper: StateKeeper
@@ -91,7 +127,7 @@
   readonly submitter: CommandSubmitter
   private readonly _stop = new AbortController()
 
-  constructor (readonly name: string, clock: FakeClock, log: FakePlatformLog, platform: PlayedPlatform) {
+  constructor (readonly name: string, clock: FakeClock, log: FakePlatformLog, platform: PlayedPlatform, workers: PlayedWorkerControl) {
     const metrics = new MemoryMetrics()
     const random = new SeededRandomSource(name.charCodeAt(name.length - 1))
     const self: Member = { id: name, incarnation: '1', role: 'control', availabilityZone: 'a', address: { host: '127.0.0.1', port: 1 }, host: name, joinedAt: clock.now() }
@@ -101,12 +137,13 @@
     this.submitter = new CommandSubmitter(holder, writer, this.keeper, clock)
     this.membership = new Membership(self, this.keeper, new SilentAccountSource(), () => true, clock)
     const parts: ControlParts = { self: holder, keeper: this.keeper, submitter: this.submitter, identifiers: new SequentialIdentifierSource(name), clock, random, metrics }
-    const idAt = ({ port }: SocketAddress): string => [...this.keeper.state.virtualMachines.values()].find(machine => machine.value.address.port === port)?.value.id ?? ''
+    const idAt = ({ port }: SocketAddress): string => platform.idsByPort.get(port) ?? ''
     const { signal } = this._stop
     void new LogFollowerTask(log, this.keeper, clock, random, metrics).run(signal)
     void writer.run(signal)
     void new OperationTask(parts, this.membership, platform, new PlayedProber(platform, idAt, clock)).run(signal)
     void new CapacityTask(parts, new FewestMovesPlanner()).run(signal)
+    void new PlacementTask(parts, workers, new FairPlacement(random)).run(signal)
   }
 
   /** Ends the process without a word, as a crash or a pause without end does. */
@@ -120,6 +157,8 @@
   readonly clock = new FakeClock()
   readonly log = new FakePlatformLog(this.clock)
   readonly platform = new PlayedPlatform(this.clock)
+  readonly workers = new PlayedWorkers(this.clock)
+  readonly workerControl = new PlayedWorkerControl(this.workers)
   readonly controls: PlayedControl[] = []
   /** Entry processes that don't answer. */
   readonly silent = new Set<string>()
@@ -146,9 +185,11 @@
     const members = [...names.map(name => join(name, 'control', 'a')), ...entries.map(name => join(name, 'entry', name.slice(-1)))]
     this.log.write([...members, ...commands].map((body, index) => ({ id: `setup-${index}`, author: { member: 'operator', incarnation: '1' }, time: this.clock.now(), body })))
     for (const command of commands) {
-      if (command.kind === 'put-virtual-machine') this.platform.machines.set(command.value.id, { pool: command.value.pool, isDown: false, intents: new Map(), reboots: 0 })
+      if (command.kind !== 'put-virtual-machine') continue
+      this.platform.idsByPort.set(command.value.address.port, command.value.id)
+      this.platform.machines.set(command.value.id, { pool: command.value.pool, isDown: false, intents: new Map(), reboots: 0 })
     }
-    for (const name of names) this.controls.push(new PlayedControl(name, this.clock, this.log, this.platform))
+    for (const name of names) this.controls.push(new PlayedControl(name, this.clock, this.log, this.platform, this.workerControl))
     void this._beat()
     await this.clock.advance(2_000)
   }
--- a/tests/support/wire-fleet.ts
+++ b/tests/support/wire-fleet.ts
@@ -14,6 +14,7 @@
 import { HttpCaller } from '../../src/platform/http-caller.js'
 import { HttpPlatformLog } from '../../src/platform/http-platform-log.js'
 import { HttpVirtualMachineControl } from '../../src/platform/http-virtual-machine-control.js'
+import { HttpWorkerControl } from '../../src/platform/http-worker-control.js'
 import type { SocketAddress } from '../../src/schemas/socket-address.js'
 import { ControlSettings } from '../../src/settings/control-settings.js'
 import { EntrySettings } from '../../src/settings/entry-settings.js'
@@ -91,6 +92,7 @@
       metrics,
       platformLog: new HttpPlatformLog(caller),
       virtualMachineControl: new HttpVirtualMachineControl(caller),
+      workerControl: new HttpWorkerControl(caller),
       prober: new HttpEndpointProber(),
       ...(options.policies ? { policies: options.policies } : {}),
       requestStop: () => {}
