Run the daemons' code through seeded faults in random order, with checks that mutations prove

The tests over the wire found: an endpoint's report of what it ran counted for ever, so one that had been busy got no work again (20 s after its zone was back).

--- a/src/endpoints/decaying-peak.ts
+++ b/src/endpoints/decaying-peak.ts
@@ -3,7 +3,7 @@
  */
 
 /** Time in which the value falls to a half, in milliseconds. */
-const HALF_LIFE_MILLISECONDS = 3_000
+const HALF_LIFE_MILLISECONDS = 1_000
 
 /** Weight of a value below the present one. */
 const SMOOTHING = 0.1
--- a/src/endpoints/endpoint-supervisor.ts
+++ b/src/endpoints/endpoint-supervisor.ts
@@ -17,6 +17,9 @@
 import { EndpointProbeTask } from './endpoint-probe-task.js'
 import type { EndpointRequest } from './endpoint-request.js'
 
+/** Time for which an endpoint's report of what it runs counts, in milliseconds. */
+const REPORT_MILLISECONDS = 500
+
 /** Runs one task for each connection to the endpoint and one that watches them. */
 export class EndpointSupervisor extends Supervisor {
   private readonly _connections = new Set<EndpointConnectionTask>()
@@ -24,6 +27,7 @@
   private readonly _latency = new DecayingPeak()
   private _inFlight = 0
   private _reportedRunning = 0
+  private _reportDeadline = 0
 
   /**
    * @param virtualMachine id of the VM.
@@ -48,9 +52,9 @@
     return this._inFlight
   }
 
-  /** Requests of all processes that the endpoint had at its last answer. */
+  /** Requests of all processes that the endpoint had at its last answer; 0 once that says nothing of the present any more. */
   get reportedRunning (): number {
-    return this._reportedRunning
+    return this.clock.now() < this._reportDeadline ? this._reportedRunning : 0
   }
 
   /** Whether outcomes speak against sending anything. */
@@ -122,6 +126,7 @@
   }
 
   private _recordAnswer (answer: EndpointAnswer): void {
+    this._reportDeadline = this.clock.now() + REPORT_MILLISECONDS
     this._reportedRunning = Number(answer.headers[ENDPOINT_HEADERS.running] ?? 0) || 0
     // A whole answer of 5xx goes to the caller as it is, and yet tells that the endpoint is unwell.
     if (answer.status >= 500) this._breaker.recordFailure(this.clock.now())
--- a/src/entry/request-dispatcher.ts
+++ b/src/entry/request-dispatcher.ts
@@ -29,7 +29,11 @@
 /** Longest pause before another endpoint is looked for when all are full, in milliseconds. */
 const FULL_PAUSE_MILLISECONDS = 20
 
-/** Endpoints that may refuse one after the other before there is a pause. */
+/** Part of a request's time, and least time in milliseconds, that must be left to try another endpoint after a refusal. */
+const LAST_TRY_PART = 0.1
+const MINIMUM_LAST_TRY_MILLISECONDS = 20
+
+/** Refusals one after the other before there is a pause. */
 const REFUSALS_BEFORE_PAUSE = 3
 
 /** Attempts after which an endpoint of another availability zone is looked for. */
@@ -40,6 +44,8 @@
   attempts: number
   /** Whether an attempt was sent whose outcome isn't known. */
   isInDoubt: boolean
+  /** After a refusal no other endpoint is tried later than this, epoch milliseconds. */
+  readonly lastTryDeadline: number
   /** VMs and zones that failed it. */
   readonly avoidedMachines: Set<string>
   readonly avoidedZones: Set<string>
@@ -63,7 +69,9 @@
 
   /** Runs the request until it is answered, refused, failed or given up. */
   async dispatch (request: AdmittedRequest, outgoing: OutgoingRequest, giveUp: GiveUp): Promise<Either<Refusal, ServedAnswer>> {
-    const progress: Progress = { attempts: 0, isInDoubt: false, avoidedMachines: new Set(), avoidedZones: new Set() }
+    const now = this._clock.now()
+    const lastTryDeadline = request.deadline - Math.max(MINIMUM_LAST_TRY_MILLISECONDS, (request.deadline - now) * LAST_TRY_PART)
+    const progress: Progress = { attempts: 0, isInDoubt: false, lastTryDeadline, avoidedMachines: new Set(), avoidedZones: new Set() }
     this._retries.recordFirstAttempt()
     for (;;) {
       const slot = await this._acquire(request, outgoing, progress, giveUp.waiting)
@@ -101,15 +109,18 @@
     request: AdmittedRequest, outgoing: OutgoingRequest, progress: Progress, slot: Slot, signal: AbortSignal
   ): Promise<Either<AttemptFailure, ServedAnswer>> {
     const refusers = new Set<string>()
+    let refusals = 0
     for (;;) {
-      if (refusers.size >= REFUSALS_BEFORE_PAUSE) {
+      // Counted, not the endpoints that refused: a small pool has fewer of them than there may be refusals.
+      if (refusals >= REFUSALS_BEFORE_PAUSE) {
+        refusals = 0
         refusers.clear()
-        await this._pauseWhileFull(request, signal)
+        await this._pauseWhileFull(progress, signal)
       }
       const candidate = this._choose(request, progress, refusers)
       if (!candidate) {
         // Nothing was sent in this attempt; waiting holds the slot, which bounds how many look for an endpoint.
-        if (!await this._pauseWhileFull(request, signal)) {
+        if (!await this._pauseWhileFull(progress, signal)) {
           slot.release()
           return Left(new AttemptFailure('not-sent', '', 'no endpoint had a free slot'))
         }
@@ -121,7 +132,8 @@
       const result = await this._send(request, outgoing, endpoint, signal)
       if (result.isRight()) return this._deliver(result.extract() as EndpointAnswer, request, endpoint, progress, slot)
       const failure = result.extract() as AttemptFailure
-      if (failure.kind === 'refused' && this._isResendable(outgoing) && this._hasTime(request, signal)) {
+      if (failure.kind === 'refused' && this._isResendable(outgoing) && this._hasTime(progress, signal)) {
+        refusals += 1
         refusers.add(candidate.virtualMachine)
         continue
       }
@@ -214,18 +226,19 @@
   }
 
   /** Waits a moment for a slot to come free; false once the request's time is up. */
-  private async _pauseWhileFull (request: AdmittedRequest, signal: AbortSignal): Promise<boolean> {
+  private async _pauseWhileFull (progress: Progress, signal: AbortSignal): Promise<boolean> {
     const pause = this._clock.now() + 1 + this._random.integer(FULL_PAUSE_MILLISECONDS)
-    await this._clock.sleepUntil(Math.min(pause, request.deadline), signal).catch(() => {})
-    return this._hasTime(request, signal)
+    await this._clock.sleepUntil(Math.min(pause, progress.lastTryDeadline), signal).catch(() => {})
+    return this._hasTime(progress, signal)
   }
 
-  private _hasTime (request: AdmittedRequest, signal: AbortSignal): boolean {
-    return !signal.aborted && this._clock.now() < request.deadline
+  /** An attempt begun too late would be broken off under way, and turn a true "not run" into doubt. */
+  private _hasTime (progress: Progress, signal: AbortSignal): boolean {
+    return !signal.aborted && this._clock.now() < progress.lastTryDeadline
   }
 
   private _mayRetry (failure: AttemptFailure, request: AdmittedRequest, outgoing: OutgoingRequest, progress: Progress, signal: AbortSignal): boolean {
-    if (signal.aborted || failure.kind === 'aborted' || this._clock.now() >= request.deadline) return false
+    if (failure.kind === 'aborted' || !this._hasTime(progress, signal)) return false
     if (!this._isResendable(outgoing)) return false
     if (!failure.isNotRun && !request.isRepeatable) return false
     return this._retries.mayRetry(failure, progress.attempts)
--- /dev/null
+++ b/tests/support/chaos-entry.ts
@@ -0,0 +1,117 @@
+/**
+ * An entry process's own code in simulated time.
+ */
+import { Readable } from 'node:stream'
+import { PoolView } from '../../src/endpoints/pool-view.js'
+import type { EndpointDirectoryTask } from '../../src/endpoints/endpoint-directory-task.js'
+import { PowerOfTwoChooser } from '../../src/endpoints/power-of-two-chooser.js'
+import { BudgetedRetryPolicy } from '../../src/entry/budgeted-retry-policy.js'
+import { ClaimTask } from '../../src/entry/claim-task.js'
+import { ConfiguredAdmission } from '../../src/entry/configured-admission.js'
+import { CutOffGuard } from '../../src/entry/cut-off-guard.js'
+import { DemandGrantPolicy } from '../../src/entry/demand-grant-policy.js'
+import { DemandSlotDivision } from '../../src/entry/demand-slot-division.js'
+import { EntryAccountSource } from '../../src/entry/entry-account-source.js'
+import { GrantTask } from '../../src/entry/grant-task.js'
+import { KeyVerifier } from '../../src/entry/key-verifier.js'
+import { LimitLedger } from '../../src/entry/limit-ledger.js'
+import { LoanBook } from '../../src/entry/loan-book.js'
+import { PoolQueues } from '../../src/entry/pool-queues.js'
+import type { Refusal } from '../../src/entry/refusal.js'
+import { RequestDispatcher } from '../../src/entry/request-dispatcher.js'
+import { RequestService } from '../../src/entry/request-service.js'
+import type { ServedAnswer } from '../../src/entry/served-answer.js'
+import { ShareDivisionTask } from '../../src/entry/share-division-task.js'
+import { TaskService } from '../../src/entry/task-service.js'
+import { MemoryMetrics } from '../../src/observability/memory-metrics.js'
+import { MemberTask } from '../../src/peers/member-task.js'
+import { Membership } from '../../src/peers/membership.js'
+import type { PlatformLog } from '../../src/platform/platform-log.js'
+import type { Member } from '../../src/schemas/member.js'
+import { CommandSubmitter } from '../../src/state/command-submitter.js'
+import { LogFollowerTask } from '../../src/state/log-follower-task.js'
+import { LogWriterTask } from '../../src/state/log-writer-task.js'
+import { StateKeeper } from '../../src/state/state-keeper.js'
+import { SeededRandomSource } from '../../src/supervision/seeded-random-source.js'
+import type { ChaosLink } from './chaos-endpoint.js'
+import type { FakeClock } from './fake-clock.js'
+import { SequentialIdentifierSource } from './sequential-identifier-source.js'
+
+/** What a caller asks. */
+interface ChaosRequest {
+  readonly mark: string
+  readonly key: string
+  readonly queue: string
+  readonly method: 'PUT' | 'POST'
+  readonly idempotencyKey: string | null
+  readonly workMilliseconds: number
+}
+
+/** One life of one entry process, wired as the construction module does, with played links to endpoints. */
+export class ChaosEntry {
+  readonly keeper: StateKeeper
+  readonly membership: Membership
+  private readonly _service: RequestService
+  private readonly _identifiers: SequentialIdentifierSource
+  private readonly _stop = new AbortController()
+
+  constructor (readonly name: string, readonly zone: string, incarnation: string, clock: FakeClock, log: PlatformLog, links: ReadonlyMap<string, ChaosLink>, seed: number) {
+    const metrics = new MemoryMetrics()
+    const random = new SeededRandomSource(seed)
+    const self: Member = { id: name, incarnation, role: 'entry', availabilityZone: zone, address: { host: '127.0.0.1', port: 1 }, host: name, joinedAt: clock.now() }
+    const holder = { member: name, incarnation }
+    const { signal } = this._stop
+    this._identifiers = new SequentialIdentifierSource(`${name}-${incarnation}`)
+    this.keeper = new StateKeeper(clock, metrics)
+    const follower = new LogFollowerTask(log, this.keeper, clock, random, metrics)
+    const writer = new LogWriterTask(log, this.keeper, clock, random, metrics)
+    const submitter = new CommandSubmitter(holder, writer, this.keeper, clock)
+    const directory = { get: (id: string) => links.get(id), all: () => [...links.values()] } as unknown as EndpointDirectoryTask
+    const guard = new CutOffGuard(this.keeper, clock, zone)
+    const view = new PoolView(this.keeper, directory, clock, place => guard.mayStartIn(place))
+    const ledger = new LimitLedger(this.keeper, holder, new LoanBook(clock))
+    const queues = new PoolQueues(this.keeper, ledger, clock, metrics)
+    const account = new EntryAccountSource(this.keeper, queues, directory)
+    this.membership = new Membership(self, this.keeper, account, () => follower.reachesLog, clock)
+    const others = () => this.membership.livingEntries()
+    const grants = new GrantTask(holder, ledger, queues, new DemandGrantPolicy(), others, this.keeper, submitter, this._identifiers, clock, metrics)
+    account.connect(grants)
+    const claims = new ClaimTask(holder, this.keeper, submitter, this._identifiers, clock, metrics)
+    const division = new ShareDivisionTask(name, queues, view, new DemandSlotDivision(), others, this.keeper, clock)
+    const dispatcher = new RequestDispatcher(queues, view, directory, new PowerOfTwoChooser(random), new BudgetedRetryPolicy(clock, random), clock, random, metrics)
+    const admission = new ConfiguredAdmission(this.keeper, new KeyVerifier(), () => guard.acceptsKnownKeys())
+    this._service = new RequestService(admission, claims, dispatcher, new TaskService(this.keeper, submitter, this._identifiers), clock, metrics)
+    const member = new MemberTask(self, this.keeper, submitter, this._identifiers, clock, () => {})
+    for (const task of [follower, writer, member, grants, claims, division]) void task.run(signal).catch(() => {})
+  }
+
+  /** Whether the process has crashed. */
+  get isDead (): boolean {
+    return this._stop.signal.aborted
+  }
+
+  /** Ends the process without a word. */
+  crash (): void {
+    this._stop.abort()
+  }
+
+  /** Serves one request; null if the process died before its answer, as a broken connection. */
+  async serve (request: ChaosRequest): Promise<{ outcome: string, body: string } | null> {
+    const answer = await this._service.serve({
+      requestId: this._identifiers.next(),
+      queue: request.queue,
+      method: request.method,
+      path: '/x',
+      headers: { 'x-mark': request.mark, 'x-work': String(request.workMilliseconds) },
+      bearer: request.key,
+      idempotencyKey: request.idempotencyKey,
+      deadline: null,
+      contentLength: request.mark.length,
+      body: Readable.from([Buffer.from(request.mark)])
+    }, new AbortController().signal)
+    if (this.isDead) return null
+    if (answer.isLeft()) return { outcome: (answer.extract() as Refusal).outcome, body: (answer.extract() as Refusal).kind }
+    const { body } = answer.extract() as ServedAnswer
+    return { outcome: 'answered', body: Buffer.isBuffer(body) ? body.toString() : '' }
+  }
+}
