Let idle processes rest: endpoints start with their first request, queues wake their tasks

Cause: the memory benchmark showed an idle entry daemon at 3.3% of a core, and at 253 MB with 6,900 VMs in the state, for it kept a supervisor, a probe and controllers for each VM. Change: an endpoint's supervisor starts with its first request and is forgotten after 30 s without work; division, grants and loans wait for a request to arrive while there is no work.

--- a/src/endpoints/endpoint-directory-task.ts
+++ b/src/endpoints/endpoint-directory-task.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps one supervisor for each endpoint that may have work.
+ * Keeps one supervisor for each endpoint in use.
  */
 import type { Metrics } from '../observability/metrics.js'
 import type { VirtualMachineState } from '../schemas/virtual-machine-state.js'
@@ -14,18 +14,25 @@
 import type { EndpointProber } from './endpoint-prober.js'
 import { EndpointSupervisor } from './endpoint-supervisor.js'
 
+/** How often endpoints without work are looked for, in milliseconds. */
+const SWEEP_INTERVAL_MILLISECONDS = 10_000
+
 /** An endpoint with the function that stops it. */
 interface Running {
   readonly endpoint: EndpointSupervisor
   readonly stop: () => Promise<void>
 }
 
-/** Follows the VMs in the state: starts a supervisor for a new one, stops that of one that left. */
+/**
+ * Starts a supervisor with a VM's first request, and stops it when the VM leaves or has had
+ * no work for a while: a process pays for the endpoints that it uses, not for the fleet.
+ */
 export class EndpointDirectoryTask extends Task {
   override readonly name = 'endpoint-directory'
   private readonly _running = new Map<string, Running>()
   private _reconciledState: FleetState | null = null
   private _reconciledOffset = -1
+  private _sweepDeadline = 0
 
   /** @param _supervisor under which the endpoints run. */
   constructor (
@@ -40,20 +47,29 @@
     super()
   }
 
-  /** The endpoint of a VM, if it may have work. */
+  /** The endpoint of a VM if it has had work lately. */
+  peek (virtualMachine: string): EndpointSupervisor | undefined {
+    return this._running.get(virtualMachine)?.endpoint
+  }
+
+  /** The endpoint of a VM that may have work, started with its first request. */
   get (virtualMachine: string): EndpointSupervisor | undefined {
+    const machine = this._keeper.state.virtualMachines.get(virtualMachine)
+    if (machine && machine.phase !== 'rebooting' && !this._running.has(virtualMachine)) this._start(machine)
     return this._running.get(virtualMachine)?.endpoint
   }
 
-  /** All endpoints. */
+  /** All endpoints that have had work lately. */
   all (): EndpointSupervisor[] {
     return [...this._running.values()].map(({ endpoint }) => endpoint)
   }
 
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this._isConfigurationNew()) this.reconcile()
-      await this._keeper.changed.wait(this._clock, Infinity, signal)
+      const isSweepDue = this._clock.now() >= this._sweepDeadline
+      if (isSweepDue) this._sweepDeadline = this._clock.now() + SWEEP_INTERVAL_MILLISECONDS
+      if (this._isConfigurationNew() || isSweepDue) this.reconcile()
+      await this._keeper.changed.wait(this._clock, this._sweepDeadline, signal)
     }
   }
 
@@ -71,13 +87,10 @@
     const { virtualMachines } = this._keeper.state
     for (const [id, { endpoint, stop }] of this._running) {
       const machine = virtualMachines.get(id)
-      if (machine && this._isSame(machine, endpoint)) continue
+      if (machine && this._isSame(machine, endpoint) && !endpoint.isDormant) continue
       this._running.delete(id)
       void stop()
     }
-    for (const [id, machine] of virtualMachines) {
-      if (machine.phase !== 'rebooting' && !this._running.has(id)) this._start(machine)
-    }
     this._metrics.level('endpoints.connections.level', this.all().reduce((sum, endpoint) => sum + endpoint.connectionCount, 0))
   }
 
--- a/src/endpoints/endpoint-supervisor.ts
+++ b/src/endpoints/endpoint-supervisor.ts
@@ -17,6 +17,9 @@
 import { EndpointProbeTask } from './endpoint-probe-task.js'
 import type { EndpointRequest } from './endpoint-request.js'
 
+/** Time without work after which an endpoint may be forgotten, in milliseconds. */
+const DORMANT_MILLISECONDS = 30_000
+
 /** Time for which an endpoint's report of what it runs counts, in milliseconds. */
 const REPORT_MILLISECONDS = 500
 
@@ -28,6 +31,7 @@
   private _inFlight = 0
   private _reportedRunning = 0
   private _reportDeadline = 0
+  private _dormantDeadline: number
 
   /**
    * @param virtualMachine id of the VM.
@@ -43,6 +47,7 @@
     private readonly _metrics: Metrics
   ) {
     super(`endpoint-${virtualMachine}`, clock, observer)
+    this._dormantDeadline = clock.now() + DORMANT_MILLISECONDS
     this._probe = new EndpointProbeTask(virtualMachine, address, this._connections, prober, clock, _metrics)
     this.add(this._probe)
   }
@@ -78,6 +83,12 @@
     return this._inFlight > 0 || this._probe.hasAwaited
   }
 
+  /** Whether it has had no work for so long, and so little speaks against it, that nothing is lost by forgetting it. */
+  get isDormant (): boolean {
+    const hasState = this.isBusy || this.isSuspected || this.isEjected || this._connections.size > 0
+    return !hasState && this.clock.now() >= this._dormantDeadline
+  }
+
   /** Number of open connections. */
   get connectionCount (): number {
     return this._connections.size
@@ -89,6 +100,7 @@
     const connection = this._idleConnection() ?? this._open()
     this._inFlight += 1
     const startedAt = this.clock.now()
+    this._dormantDeadline = this.clock.now() + DORMANT_MILLISECONDS
     const exchanged = connection.exchange(request)
     this._probe.wake()
     const result = await exchanged
--- a/src/endpoints/pool-view.ts
+++ b/src/endpoints/pool-view.ts
@@ -54,16 +54,16 @@
 
   private _candidate (pool: Pool, machine: VirtualMachineState): EndpointCandidate[] {
     const { id, availabilityZone } = machine.value
-    const endpoint = this._directory.get(id)
-    if (!endpoint || !this._mayStartIn(availabilityZone)) return []
+    if (!this._mayStartIn(availabilityZone)) return []
+    const endpoint = this._directory.peek(id)
     return [{
       virtualMachine: id,
       availabilityZone,
       slots: this._slots(pool, machine),
-      inFlight: endpoint.inFlight,
-      reportedRunning: endpoint.reportedRunning,
-      latencyMilliseconds: endpoint.latencyMilliseconds,
-      isEjected: endpoint.isEjected || endpoint.isSuspected
+      inFlight: endpoint?.inFlight ?? 0,
+      reportedRunning: endpoint?.reportedRunning ?? 0,
+      latencyMilliseconds: endpoint?.latencyMilliseconds ?? 0,
+      isEjected: endpoint !== undefined && (endpoint.isEjected || endpoint.isSuspected)
     }]
   }
 
--- a/src/entry/grant-task.ts
+++ b/src/entry/grant-task.ts
@@ -67,11 +67,18 @@
       await this._step(this._plans(), signal)
       // Units may also have come from others, by their records.
       this._wakeQueues()
-      await this._clock.sleepUntil(this._clock.now() + GRANT_INTERVAL_MILLISECONDS, signal).catch(() => {})
+      await this._pause(signal)
     }
     await this._giveAllBack()
   }
 
+  /** Others' wants are looked after at the full pace too; only a quiet fleet is looked at seldom. */
+  private async _pause (signal: AbortSignal): Promise<void> {
+    const isWanted = this._others().some(entry => entry.grantUses?.some(use => use.wanted > 0)) || this._countTasksWaiting().size > 0
+    if (isWanted || this._undecided) await this._clock.sleepUntil(this._clock.now() + GRANT_INTERVAL_MILLISECONDS, signal).catch(() => {})
+    else await this._queues.pause(GRANT_INTERVAL_MILLISECONDS, signal)
+  }
+
   /** Units that stand idle here and units that waiting work could use, for the others to see. */
   uses (): Account['grantUses'] {
     const waiting = this._waitingByTeam()
--- a/src/entry/loan-task.ts
+++ b/src/entry/loan-task.ts
@@ -70,7 +70,7 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this._look()
-      await this._clock.sleepUntil(this._clock.now() + LOOK_INTERVAL_MILLISECONDS, signal).catch(() => {})
+      await this._queues.pause(LOOK_INTERVAL_MILLISECONDS, signal)
     }
   }
 
--- a/src/entry/pool-queue.ts
+++ b/src/entry/pool-queue.ts
@@ -76,6 +76,7 @@
     private readonly _clock: Clock,
     private readonly _ledger: LimitLedger,
     private readonly _share: (team: string | null) => number,
+    private readonly _onArrival: () => void,
     private readonly _metrics: Metrics
   ) {
     const order = new FairShareQueue(
@@ -139,6 +140,7 @@
   async acquire (entrance: Entrance): Promise<Either<Refusal, Slot>> {
     const refusal = this._refusalOf(entrance)
     if (refusal) return Left(refusal)
+    this._onArrival()
     const enteredAt = this._clock.now()
     const backlog = this._enter(entrance)
     const slot = await this._wait(entrance)
--- a/src/entry/share-division-task.ts
+++ b/src/entry/share-division-task.ts
@@ -4,7 +4,6 @@
 import type { PoolView } from '../endpoints/pool-view.js'
 import type { MemberEntry } from '../schemas/member-entry.js'
 import type { StateKeeper } from '../state/state-keeper.js'
-import type { Clock } from '../supervision/clock.js'
 import { Task } from '../supervision/task.js'
 import { OwnDemand } from './own-demand.js'
 import type { PoolQueue } from './pool-queue.js'
@@ -30,8 +29,7 @@
     private readonly _view: PoolView,
     private readonly _division: SlotDivision,
     private readonly _others: () => readonly MemberEntry[],
-    private readonly _keeper: StateKeeper,
-    private readonly _clock: Clock
+    private readonly _keeper: StateKeeper
   ) {
     super()
   }
@@ -39,7 +37,7 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.divide()
-      await this._clock.sleepUntil(this._clock.now() + DIVISION_INTERVAL_MILLISECONDS, signal).catch(() => {})
+      await this._queues.pause(DIVISION_INTERVAL_MILLISECONDS, signal)
     }
   }
 
--- a/src/main/process-tree.ts
+++ b/src/main/process-tree.ts
@@ -112,7 +112,7 @@
     const lending = new LoanTask(loans, ledger, queues, core.membership, channels, keeper, identifiers, clock)
     services.push(lending)
     const claims = new ClaimTask(holder, keeper, core.submitter, identifiers, clock, metrics)
-    const division = new ShareDivisionTask(self.id, queues, view, policies.division ?? new DemandSlotDivision(), others, keeper, clock)
+    const division = new ShareDivisionTask(self.id, queues, view, policies.division ?? new DemandSlotDivision(), others, keeper)
     const chooser = policies.chooser ?? new PowerOfTwoChooser(random)
     const retries = policies.retries ?? new BudgetedRetryPolicy(clock, random)
     const dispatcher = new RequestDispatcher(queues, view, directory, chooser, retries, clock, random, metrics)
--- a/tests/support/chaos-entry.ts
+++ b/tests/support/chaos-entry.ts
@@ -66,7 +66,7 @@
     const follower = new LogFollowerTask(log, this.keeper, clock, random, metrics)
     const writer = new LogWriterTask(log, this.keeper, clock, random, metrics)
     const submitter = new CommandSubmitter(holder, writer, this.keeper, clock)
-    const directory = { get: (id: string) => links.get(id), all: () => [...links.values()] } as unknown as EndpointDirectoryTask
+    const directory = { get: (id: string) => links.get(id), peek: (id: string) => links.get(id), all: () => [...links.values()] } as unknown as EndpointDirectoryTask
     const guard = new CutOffGuard(this.keeper, clock, zone)
     const view = new PoolView(this.keeper, directory, clock, place => guard.mayStartIn(place))
     const ledger = new LimitLedger(this.keeper, holder, new LoanBook(clock))
@@ -77,7 +77,7 @@
     const grants = new GrantTask(holder, ledger, queues, new DemandGrantPolicy(), others, this.keeper, submitter, this._identifiers, clock, metrics)
     account.connect(grants)
     const claims = new ClaimTask(holder, this.keeper, submitter, this._identifiers, clock, metrics)
-    const division = new ShareDivisionTask(name, queues, view, new DemandSlotDivision(), others, this.keeper, clock)
+    const division = new ShareDivisionTask(name, queues, view, new DemandSlotDivision(), others, this.keeper)
     const dispatcher = new RequestDispatcher(queues, view, directory, new PowerOfTwoChooser(random), new BudgetedRetryPolicy(clock, random), clock, random, metrics)
     const admission = new ConfiguredAdmission(this.keeper, new KeyVerifier(), () => guard.acceptsKnownKeys())
     this._service = new RequestService(admission, claims, dispatcher, new TaskService(this.keeper, submitter, this._identifiers), clock, metrics)
