--- a/src/command-line/command-line.ts
+++ b/src/command-line/command-line.ts
@@ -45,6 +45,8 @@
   async run (words: readonly string[]): Promise<number> {
     const parser = yargs([...words])
       .scriptName('samphireglade')
+      // One word for each --server, so that the command may follow it.
+      .parserConfiguration({ 'greedy-arrays': false })
       .usage('$0 [options] <command>')
       .option('server', { type: 'array', string: true, default: ['http://127.0.0.1:7080'], describe: 'control daemon; repeat for more, the next is tried when one doesn\'t answer' })
       .option('json', { type: 'boolean', default: false, describe: 'print JSON' })
@@ -67,7 +69,11 @@
         this._finish(await command.run(arguments_, this._context(arguments_)))
       })
     }
-    await parser.parseAsync().catch(() => {})
+    try {
+      await parser.parseAsync()
+    } catch {
+      // Said and counted by `_failUsage`.
+    }
     return this._exitCode
   }
 
