--- a/benchmarks/limits-benchmark.ts
+++ b/benchmarks/limits-benchmark.ts
@@ -54,7 +54,7 @@
     const submitter = new CommandSubmitter(holder, writer, this.keeper, clock)
     const ledger = new LimitLedger(this.keeper, holder, new LoanBook(clock))
     this.queues = new PoolQueues(this.keeper, ledger, clock, metrics)
-    this.grants = new GrantTask(holder, ledger, this.queues, policy, others, this.keeper, submitter, new SequentialIdentifierSource(name), clock, metrics)
+    this.grants = new GrantTask(holder, ledger, this.queues, policy, others, this.keeper, submitter, new SequentialIdentifierSource(name), clock, metrics, () => true)
     const never = new AbortController().signal
     void new LogFollowerTask(log, this.keeper, clock, random, metrics).run(never)
     void writer.run(never)
--- a/benchmarks/run-benchmarks.ts
+++ b/benchmarks/run-benchmarks.ts
@@ -13,6 +13,7 @@
 import { MemoryBenchmark } from './memory-benchmark.js'
 import { PlacementBenchmark } from './placement-benchmark.js'
 import { RolloutBenchmark } from './rollout-benchmark.js'
+import { SeededFaultsBenchmark } from './seeded-faults-benchmark.js'
 import { SharesBenchmark } from './shares-benchmark.js'
 import { StateSizeBenchmark } from './state-size-benchmark.js'
 import { ZoneBenchmark } from './zone-benchmark.js'
@@ -30,7 +31,8 @@
   new InForceBenchmark(),
   new MemberCostBenchmark(),
   new StateSizeBenchmark(),
-  new MemoryBenchmark()
+  new MemoryBenchmark(),
+  new SeededFaultsBenchmark()
 ]
 
 function format (value: number | null): string {
--- a/src/entry/grant-task.ts
+++ b/src/entry/grant-task.ts
@@ -57,7 +57,8 @@
     private readonly _submitter: CommandSubmitter,
     private readonly _identifiers: IdentifierSource,
     private readonly _clock: Clock,
-    private readonly _metrics: Metrics
+    private readonly _metrics: Metrics,
+    private readonly _isLogReached: () => boolean
   ) {
     super()
   }
@@ -86,7 +87,9 @@
       const usable = this._ledger.usable(team)
       const running = this._ledger.running(team)
       const wanted = Math.max(0, (waiting.get(team) ?? 0) - Math.max(0, usable - running))
-      const idle = Math.max(0, usable - running - (waiting.get(team) ?? 0))
+      // Units under way to a holder can still be lent to it.
+      const underWay = this._ledger.undecidedTransfer(team)?.units ?? 0
+      const idle = Math.max(0, usable - running - (waiting.get(team) ?? 0)) + underWay
       return wanted + idle > 0 ? [{ team, idle, wanted }] : []
     })
   }
@@ -102,7 +105,7 @@
     // Only a verdict ends the withholding. Until then the same record is written again.
     if (result.kind === 'unknown' || result.kind === 'shed') return
     this._undecided = null
-    this._ledger.releaseWithheld()
+    this._ledger.releaseWithheld(result.kind === 'accepted')
     this._metrics.count('grants.adjustments')
   }
 
@@ -112,7 +115,8 @@
 
   private _commandFor (plans: TeamPlan[]): Command | null {
     const member = this._keeper.state.members.get(this._self.member)
-    if (member?.incarnation !== this._self.incarnation) return null
+    // While nobody reaches the log a change would only keep units from use; loans move them then.
+    if (member?.incarnation !== this._self.incarnation || !this._isLogReached()) return null
     const sequence = member.grantSequence + 1
     const adjustments = plans.filter(plan => plan.adjust !== 0).map(({ team, adjust }) => ({ team, units: adjust }))
     if (adjustments.length > 0) return { kind: 'adjust-grants', holder: this._self, sequence, changes: adjustments }
@@ -129,7 +133,10 @@
   }
 
   private _withhold (command: Command): void {
-    if (command.kind === 'transfer-grants') for (const { team, units } of command.changes) this._ledger.withhold(team, units)
+    if (command.kind === 'transfer-grants') {
+      for (const { team, units } of command.changes) this._ledger.withhold(team, units)
+      this._ledger.noteTransfer(command.to, command.sequence)
+    }
     if (command.kind === 'adjust-grants') for (const { team, units } of command.changes) if (units < 0) this._ledger.withhold(team, -units)
   }
 
--- a/src/entry/limit-ledger.ts
+++ b/src/entry/limit-ledger.ts
@@ -2,6 +2,7 @@
  * Counts a process's running requests against its grants.
  */
 import type { Holder } from '../schemas/holder.js'
+import type { Loan } from '../schemas/loan.js'
 import type { StateKeeper } from '../state/state-keeper.js'
 import type { LoanBook } from './loan-book.js'
 
@@ -9,6 +10,7 @@
 export class LimitLedger {
   private readonly _running = new Map<string, number>()
   private readonly _withheld = new Map<string, number>()
+  private _transfer: { to: Holder, sequence: number } | null = null
 
   constructor (private readonly _keeper: StateKeeper, private readonly _self: Holder, private readonly _loans: LoanBook) {}
 
@@ -29,19 +31,30 @@
     return state.isLiving(this._self) ? state.unitsHeldBy(this._self, team) : 0
   }
 
-  /** Units that are lent to other processes. */
+  /** Units that are lent to other processes, beyond those being passed to them. */
   lent (team: string): number {
-    return this._loans.lent(team)
+    return this._loans.lent(team, this._transfer?.sequence ?? null)
+  }
+
+  /** Borrowed units under which work may start. */
+  borrowed (team: string): number {
+    return this._loans.borrowed(team, loan => this._isVoid(loan))
+  }
+
+  /** Units of a team under way to a holder by a transfer that isn't decided, and its sequence. */
+  undecidedTransfer (team: string): { to: Holder, sequence: number, units: number } | null {
+    if (!this._transfer) return null
+    return { ...this._transfer, units: this._withheld.get(team) ?? 0 }
   }
 
   /** Units that work may use: held and borrowed, less those lent, those being given back and those that a lowered limit takes away. */
   usable (team: string): number {
     const { state } = this._keeper
     const held = this.held(team)
-    const given = (this._withheld.get(team) ?? 0) + this._loans.lent(team)
+    const given = (this._withheld.get(team) ?? 0) + this.lent(team)
     const granted = state.grantedUnits(team)
     const limit = state.upperLimit(team)
-    if (granted <= limit) return held - given + this._loans.borrowed(team)
+    if (granted <= limit) return held - given + this.borrowed(team)
     // The limit was lowered: every holder keeps at most its part, so that the sum is right at once.
     return Math.min(held - given, Math.floor(held * limit / granted))
   }
@@ -64,13 +77,31 @@
     else this._running.delete(team)
   }
 
-  /** Keeps units from use while they are being given back; they must be idle. */
+  /** Keeps units from use while they are being given back or passed on; they must be idle. */
   withhold (team: string, units: number): void {
     this._withheld.set(team, units)
   }
 
+  /** Notes that what is withheld is under way to another holder. */
+  noteTransfer (to: Holder, sequence: number): void {
+    this._transfer = { to, sequence }
+  }
+
   /** Ends all withholding, once the fold has decided. */
-  releaseWithheld (): void {
+  releaseWithheld (isAccepted: boolean): void {
+    if (this._transfer && isAccepted) this._loans.endTransfer(this._transfer.sequence)
+    this._transfer = null
     this._withheld.clear()
   }
+
+  /**
+   * A loan of units under transfer ends with the fold's decision here, at the same offset at
+   * which the units may become held, so that they never count twice. Of a lender that has
+   * ended nothing more can be told.
+   */
+  private _isVoid ({ lender, transferSequence }: Loan): boolean {
+    if (transferSequence === null) return false
+    const member = this._keeper.state.members.get(lender.member)
+    return member?.incarnation !== lender.incarnation || member.grantSequence >= transferSequence
+  }
 }
--- a/src/entry/loan-book.ts
+++ b/src/entry/loan-book.ts
@@ -18,23 +18,42 @@
 
   constructor (private readonly _clock: Clock) {}
 
-  /** Units of a team that are lent. */
-  lent (team: string): number {
+  /**
+   * Units of a team that are lent.
+   *
+   * @param undecidedSequence transfer under way; what is lent of it is withheld already.
+   */
+  lent (team: string, undecidedSequence: number | null): number {
     const now = this._clock.now()
     let units = 0
     for (const loan of this._lent.values()) {
       if (loan.endDeadline <= now) this._lent.delete(loan.id)
-      else if (loan.team === team) units += loan.units
+      else if (loan.team === team && (loan.transferSequence === null || loan.transferSequence !== undecidedSequence)) units += loan.units
     }
     return units
   }
 
-  /** Borrowed units of a team under which work may start now. */
-  borrowed (team: string): number {
+  /** Units lent of a transfer that isn't decided yet. */
+  lentOfTransfer (team: string, sequence: number): number {
+    const loans = [...this._lent.values()].filter(loan => loan.team === team && loan.transferSequence === sequence)
+    return loans.reduce((sum, loan) => sum + loan.units, 0)
+  }
+
+  /** Ends the loans of a transfer that the fold accepted: the borrower now holds the units for good. */
+  endTransfer (sequence: number): void {
+    for (const loan of this._lent.values()) if (loan.transferSequence === sequence) this._lent.delete(loan.id)
+  }
+
+  /**
+   * Borrowed units of a team under which work may start now.
+   *
+   * @param isVoid whether the fold has decided the transfer that a loan belongs to.
+   */
+  borrowed (team: string, isVoid: (loan: Loan) => boolean): number {
     const now = this._clock.now()
     let units = 0
     for (const loan of this._borrowed.values()) {
-      if (loan.startDeadline <= now) this._borrowed.delete(loan.id)
+      if (loan.startDeadline <= now || isVoid(loan)) this._borrowed.delete(loan.id)
       else if (loan.team === team) units += loan.units
     }
     return units
--- a/src/entry/loan-task.ts
+++ b/src/entry/loan-task.ts
@@ -5,8 +5,10 @@
 import type { Membership } from '../peers/membership.js'
 import type { PeerChannel } from '../peers/peer-channel.js'
 import type { PeerChannels } from '../peers/peer-channels.js'
+import { Holder } from '../schemas/holder.js'
 import { Loan } from '../schemas/loan.js'
 import type { MemberEntry } from '../schemas/member-entry.js'
+import { FleetState } from '../state/fleet-state.js'
 import type { StateKeeper } from '../state/state-keeper.js'
 import type { Clock } from '../supervision/clock.js'
 import type { IdentifierSource } from '../supervision/identifier-source.js'
@@ -30,7 +32,7 @@
 /** Limit on one call to a lender, in milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 1_000
 
-const LoanRequest = z.object({ team: Loan.shape.team, units: Loan.shape.units })
+const LoanRequest = z.object({ team: Loan.shape.team, units: Loan.shape.units, borrower: Holder })
 const LoanAnswer = z.object({ loan: Loan.nullable() })
 const LoanReference = z.object({ id: Loan.shape.id })
 const SettleAnswer = z.object({})
@@ -44,7 +46,9 @@
   override readonly name = 'loans'
   private readonly _lenders = new Map<string, string>()
 
+  /** @param _self this process's incarnation. */
   constructor (
+    private readonly _self: Holder,
     private readonly _book: LoanBook,
     private readonly _ledger: LimitLedger,
     private readonly _queues: PoolQueues,
@@ -59,7 +63,7 @@
 
   /** Offers loans to peers on a channel. */
   offerOn (channel: PeerChannel): void {
-    channel.offer('borrow', LoanRequest, async ({ team, units }) => ({ loan: this._lend(team, units) }))
+    channel.offer('borrow', LoanRequest, async ({ team, units, borrower }) => ({ loan: this._lend(team, units, borrower) }))
     channel.offer('renew', LoanReference, async ({ id }) => ({ loan: this._extend(id) }))
     channel.offer('settle', LoanReference, async ({ id }) => {
       this._book.settle(id)
@@ -75,12 +79,12 @@
   }
 
   private async _look (): Promise<void> {
-    const isLogReached = this._membership.ownReachesLog || this._membership.living().some(entry => entry.reachesLog)
+    const isLogReached = this._membership.isLogReached
     for (const team of this._keeper.state.teams.keys()) {
       const waiting = this._waiting(team)
       const idle = this._ledger.usable(team) - this._ledger.running(team)
       if (waiting > 0 && idle <= 0 && !isLogReached) await this._borrow(team, waiting)
-      else if (waiting === 0 && idle > 0 && this._book.borrowed(team) > 0) await this._settle(team, idle)
+      else if (waiting === 0 && idle > 0 && this._ledger.borrowed(team) > 0) await this._settle(team, idle)
       const isNeeded = this._ledger.running(team) + waiting > 0
       if (isNeeded) await this._renew(team)
     }
@@ -91,7 +95,7 @@
     const channel = lender && this._channels.get(lender)
     if (!channel) return
     const deadline = this._clock.now() + CALL_TIMEOUT_MILLISECONDS
-    const answer = await channel.call({ method: 'borrow', params: { team, units }, answer: LoanAnswer, deadline })
+    const answer = await channel.call({ method: 'borrow', params: { team, units, borrower: this._self }, answer: LoanAnswer, deadline })
     const loan = answer.map(({ loan }) => loan).orDefault(null)
     if (!loan) return
     this._book.borrow(loan)
@@ -120,12 +124,27 @@
   }
 
   /** Lends what stands idle. The loan is in the book before the answer leaves. */
-  private _lend (team: string, wanted: number): Loan | null {
+  private _lend (team: string, wanted: number, borrower: Holder): Loan | null {
     const idle = this._ledger.usable(team) - this._ledger.running(team) - this._waiting(team)
     // Only own units are lent on, so that no unit passes through two hands.
-    const units = Math.min(wanted, idle - this._book.borrowed(team))
-    if (units <= 0) return null
-    const loan: Loan = { id: this._identifiers.next(), team, units, ...this._deadlines() }
+    const units = Math.min(wanted, idle - this._ledger.borrowed(team))
+    if (units > 0) return this._grant(team, units, null)
+    return this._lendUnderTransfer(team, wanted, borrower)
+  }
+
+  /**
+   * Units that an undecided transfer keeps from use here can be used by its receiver, and by
+   * nobody else: whichever way the fold decides, they are its own or the loan is void.
+   */
+  private _lendUnderTransfer (team: string, wanted: number, borrower: Holder): Loan | null {
+    const transfer = this._ledger.undecidedTransfer(team)
+    if (!transfer || FleetState.holderKey(transfer.to) !== FleetState.holderKey(borrower)) return null
+    const units = Math.min(wanted, transfer.units - this._book.lentOfTransfer(team, transfer.sequence))
+    return units > 0 ? this._grant(team, units, transfer.sequence) : null
+  }
+
+  private _grant (team: string, units: number, transferSequence: number | null): Loan {
+    const loan: Loan = { id: this._identifiers.next(), team, units, lender: this._self, transferSequence, ...this._deadlines() }
     this._book.lend(loan)
     return loan
   }
--- a/src/main/process-tree.ts
+++ b/src/main/process-tree.ts
@@ -107,9 +107,9 @@
     const services: PeerService[] = []
     const core = this._core(root, settings, self, account, channels, services)
     const others = () => core.membership.livingEntries()
-    const grants = new GrantTask(holder, ledger, queues, policies.grants ?? new DemandGrantPolicy(), others, keeper, core.submitter, identifiers, clock, metrics)
+    const grants = new GrantTask(holder, ledger, queues, policies.grants ?? new DemandGrantPolicy(), others, keeper, core.submitter, identifiers, clock, metrics, () => core.membership.isLogReached)
     account.connect(grants)
-    const lending = new LoanTask(loans, ledger, queues, core.membership, channels, keeper, identifiers, clock)
+    const lending = new LoanTask(holder, loans, ledger, queues, core.membership, channels, keeper, identifiers, clock)
     services.push(lending)
     const claims = new ClaimTask(holder, keeper, core.submitter, identifiers, clock, metrics)
     const division = new ShareDivisionTask(self.id, queues, view, policies.division ?? new DemandSlotDivision(), others, keeper)
--- a/src/peers/membership.ts
+++ b/src/peers/membership.ts
@@ -51,6 +51,11 @@
     return this._reachesLog()
   }
 
+  /** Whether this process or one heard of lately reaches the log. */
+  get isLogReached (): boolean {
+    return this._reachesLog() || this.living().some(entry => entry.reachesLog)
+  }
+
   /** Says in further accounts that this process is stopping. */
   announceStop (): void {
     this._isStopping = true
--- /dev/null
+++ b/tests/lending.test.ts
@@ -0,0 +1,119 @@
+/**
+ * Units that are under transfer in the log and lent between peers at the same time.
+ */
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { LimitLedger } from '../src/entry/limit-ledger.js'
+import { LoanBook } from '../src/entry/loan-book.js'
+import { MemoryMetrics } from '../src/observability/memory-metrics.js'
+import type { Command } from '../src/schemas/command.js'
+import type { Loan } from '../src/schemas/loan.js'
+import { StateKeeper } from '../src/state/state-keeper.js'
+import { FakeClock } from './support/fake-clock.js'
+
+const LIMIT = 6
+const LENDER = { member: 'lender', incarnation: '1' }
+const BORROWER = { member: 'borrower', incarnation: '1' }
+
+/** A lender with all units and a borrower with none, who read one log each at its own pace. */
+class LendingPair {
+  readonly clock = new FakeClock()
+  readonly records: { offset: number, record: unknown }[] = []
+  readonly lenderBook = new LoanBook(this.clock)
+  readonly borrowerBook = new LoanBook(this.clock)
+  private readonly _lenderKeeper = new StateKeeper(this.clock, new MemoryMetrics())
+  private readonly _borrowerKeeper = new StateKeeper(this.clock, new MemoryMetrics())
+  readonly lender = new LimitLedger(this._lenderKeeper, LENDER, this.lenderBook)
+  readonly borrower = new LimitLedger(this._borrowerKeeper, BORROWER, this.borrowerBook)
+  private _loans = 0
+  private _transfer: { command: Command, id: string, sequence: number } | null = null
+
+  constructor () {
+    for (const holder of [LENDER, BORROWER]) {
+      this._append({ kind: 'join-member', value: { id: holder.member, incarnation: '1', role: 'entry', availabilityZone: 'a', address: { host: '127.0.0.1', port: 1 }, host: holder.member, joinedAt: 1 } })
+    }
+    this._append({ kind: 'put-team', value: { name: 'team', share: 1, upperLimit: LIMIT }, expectedVersion: 0 })
+    this._append({ kind: 'transfer-grants', holder: BORROWER, sequence: 1, to: LENDER, changes: [{ team: 'team', units: LIMIT / 2 }] })
+    this.readLender()
+    this.readBorrower()
+  }
+
+  /** Units that the two may use together. */
+  get usable (): number {
+    return Math.max(0, this.lender.usable('team')) + Math.max(0, this.borrower.usable('team'))
+  }
+
+  /** The lender begins to pass units on; the record isn't written yet. */
+  beginTransfer (units: number): void {
+    const sequence = (this._lenderKeeper.state.members.get('lender')?.grantSequence ?? 0) + 1
+    if (this._transfer || units > this.lender.usable('team')) return
+    const command: Command = { kind: 'transfer-grants', holder: LENDER, sequence, to: BORROWER, changes: [{ team: 'team', units }] }
+    this._transfer = { command, id: `transfer-${sequence}`, sequence }
+    this.lender.withhold('team', units)
+    this.lender.noteTransfer(BORROWER, sequence)
+  }
+
+  /** The transfer's record takes effect; its answer is lost. */
+  land (): void {
+    if (this._transfer) this._append(this._transfer.command, this._transfer.id)
+  }
+
+  readLender (): void {
+    this._lenderKeeper.ingest(this.records)
+    const decision = this._transfer && this._lenderKeeper.decisionOf(this._transfer.id)
+    if (!decision) return
+    this._transfer = null
+    this.lender.releaseWithheld(decision.isAccepted)
+  }
+
+  readBorrower (): void {
+    this._borrowerKeeper.ingest(this.records)
+  }
+
+  /** The borrower asks; the answer may be lost. */
+  lend (isLost: boolean): void {
+    const transfer = this.lender.undecidedTransfer('team')
+    const free = transfer ? transfer.units - this.lenderBook.lentOfTransfer('team', transfer.sequence) : this.lender.usable('team')
+    if (free <= 0) return
+    const now = this.clock.now()
+    const loan: Loan = {
+      id: `loan-${this._loans++}`, team: 'team', units: 1, lender: LENDER, transferSequence: transfer?.sequence ?? null, startDeadline: now + 30_000, endDeadline: now + 60_000
+    }
+    this.lenderBook.lend(loan)
+    if (!isLost) this.borrowerBook.borrow(loan)
+  }
+
+  private _append (body: Command, id = `record-${this.records.length}`): void {
+    this.records.push({ offset: this.records.length + 1, record: { id, author: LENDER, time: this.clock.now(), body } })
+  }
+}
+
+describe('lending of units under transfer', () => {
+  it('lets the receiver use them while the log is down, and counts them once when it is decided', () => {
+    const pair = new LendingPair()
+    pair.beginTransfer(4)
+    for (let count = 0; count < 6; count++) pair.lend(false)
+    expect([pair.lender.usable('team'), pair.borrower.usable('team')]).toEqual([2, 4])
+    pair.land()
+    pair.readBorrower()
+    expect([pair.lender.usable('team'), pair.borrower.usable('team')]).toEqual([2, 4])
+    pair.readLender()
+    expect([pair.lender.usable('team'), pair.borrower.usable('team')]).toEqual([2, 4])
+  })
+
+  it('never lets both use a unit, whatever is lost, whenever the record lands and whoever reads first', async () => {
+    const action = fc.record({ kind: fc.constantFrom('transfer', 'land', 'readLender', 'readBorrower', 'lend', 'wait'), isLost: fc.boolean(), amount: fc.integer({ min: 1, max: 6 }) })
+    await fc.assert(fc.asyncProperty(fc.array(action, { maxLength: 40 }), async actions => {
+      const pair = new LendingPair()
+      for (const { kind, isLost, amount } of actions) {
+        if (kind === 'transfer') pair.beginTransfer(amount)
+        if (kind === 'land') pair.land()
+        if (kind === 'readLender') pair.readLender()
+        if (kind === 'readBorrower') pair.readBorrower()
+        if (kind === 'lend') pair.lend(isLost)
+        if (kind === 'wait') await pair.clock.advance(amount * 5_000)
+        expect(pair.usable).toBeLessThanOrEqual(LIMIT)
+      }
+    }), { seed: 20261204, numRuns: 400 })
+  })
+})
--- a/tests/policies.test.ts
+++ b/tests/policies.test.ts
@@ -159,8 +159,8 @@
       let count = 0
       const terms = () => ({ startDeadline: clock.now() + 30_000, endDeadline: clock.now() + 60_000 })
       for (const { kind, isLost, milliseconds } of actions) {
-        if (kind === 'lend' && lender.lent('team') < held) {
-          const loan = { id: `loan-${count++}`, team: 'team', units: 1, ...terms() }
+        if (kind === 'lend' && lender.lent('team', null) < held) {
+          const loan = { id: `loan-${count++}`, team: 'team', units: 1, lender: { member: 'lender', incarnation: '1' }, transferSequence: null, ...terms() }
           lender.lend(loan)
           if (!isLost) borrower.borrow(loan)
         } else if (kind === 'renew') {
@@ -177,7 +177,7 @@
         } else {
           await clock.advance(milliseconds)
         }
-        expect(held - lender.lent('team') + borrower.borrowed('team')).toBeLessThanOrEqual(held)
+        expect(held - lender.lent('team', null) + borrower.borrowed('team', () => false)).toBeLessThanOrEqual(held)
       }
     }), { seed: SEED, numRuns: 60 })
   })
--- a/tests/support/chaos-entry.ts
+++ b/tests/support/chaos-entry.ts
@@ -74,7 +74,7 @@
     const account = new EntryAccountSource(this.keeper, queues, directory)
     this.membership = new Membership(self, this.keeper, account, () => follower.reachesLog, clock)
     const others = () => this.membership.livingEntries()
-    const grants = new GrantTask(holder, ledger, queues, new DemandGrantPolicy(), others, this.keeper, submitter, this._identifiers, clock, metrics)
+    const grants = new GrantTask(holder, ledger, queues, new DemandGrantPolicy(), others, this.keeper, submitter, this._identifiers, clock, metrics, () => this.membership.isLogReached)
     account.connect(grants)
     const claims = new ClaimTask(holder, this.keeper, submitter, this._identifiers, clock, metrics)
     const division = new ShareDivisionTask(name, queues, view, new DemandSlotDivision(), others, this.keeper)
--- a/tests/support/control-fleet.ts
+++ b/tests/support/control-fleet.ts
@@ -27,6 +27,7 @@
 import { LogFollowerTask } from '../../src/state/log-follower-task.js'
 import { LogWriterTask } from '../../src/state/log-writer-task.js'
 import { StateKeeper } from '../../src/state/state-keeper.js'
+import type { Task } from '../../src/supervision/task.js'
 import { SeededRandomSource } from '../../src/supervision/seeded-random-source.js'
 import { PlayedWorkers } from '../../stand-ins/played-workers.js'
 import { FakeClock } from './fake-clock.js'
@@ -51,6 +52,8 @@
   /** VMs that never come back from a reboot. */
   readonly lost = new Set<string>()
   isDown = false
+  /** Entry VMs on the list, which may lag. */
+  listed: string[] = []
   /** Answers to reboot orders are lost after they took effect. */
   losesAnswers = false
 
@@ -59,7 +62,7 @@
   }
 
   override async list (): Promise<Either<PlatformError, VirtualMachineListing>> {
-    return Right({ asOf: this._clock.now(), virtualMachines: [...this.machines.keys()].map(id => ({ id, state: 'live' as const })) })
+    return Right({ asOf: this._clock.now(), virtualMachines: [...this.machines.keys(), ...this.listed].map(id => ({ id, state: 'live' as const })) })
   }
 
   override async reboot (id: string, intentId: string, pool: string): Promise<Either<PlatformError, boolean>> {
@@ -125,6 +128,10 @@
   readonly keeper: StateKeeper
   readonly membership: Membership
   readonly submitter: CommandSubmitter
+  /** What further tasks of the process are made of. */
+  readonly parts: ControlParts
+  readonly writer: LogWriterTask
+  readonly prober: EndpointProber
   private readonly _stop = new AbortController()
 
   constructor (readonly name: string, clock: FakeClock, log: FakePlatformLog, platform: PlayedPlatform, workers: PlayedWorkerControl) {
@@ -133,19 +140,26 @@
     const self: Member = { id: name, incarnation: '1', role: 'control', availabilityZone: 'a', address: { host: '127.0.0.1', port: 1 }, host: name, joinedAt: clock.now() }
     const holder = { member: name, incarnation: '1' }
     this.keeper = new StateKeeper(clock, metrics)
-    const writer = new LogWriterTask(log, this.keeper, clock, random, metrics)
-    this.submitter = new CommandSubmitter(holder, writer, this.keeper, clock)
+    this.writer = new LogWriterTask(log, this.keeper, clock, random, metrics)
+    this.submitter = new CommandSubmitter(holder, this.writer, this.keeper, clock)
     this.membership = new Membership(self, this.keeper, new SilentAccountSource(), () => true, clock)
     const parts: ControlParts = { self: holder, keeper: this.keeper, submitter: this.submitter, identifiers: new SequentialIdentifierSource(name), clock, random, metrics }
     const idAt = ({ port }: SocketAddress): string => platform.idsByPort.get(port) ?? ''
     const { signal } = this._stop
     void new LogFollowerTask(log, this.keeper, clock, random, metrics).run(signal)
-    void writer.run(signal)
-    void new OperationTask(parts, this.membership, platform, new PlayedProber(platform, idAt, clock)).run(signal)
+    this.parts = parts
+    this.prober = new PlayedProber(platform, idAt, clock)
+    void this.writer.run(signal)
+    void new OperationTask(parts, this.membership, platform, this.prober).run(signal)
     void new CapacityTask(parts, new FewestMovesPlanner()).run(signal)
     void new PlacementTask(parts, workers, new FairPlacement(random)).run(signal)
   }
 
+  /** Runs a further task of the process. */
+  run (task: Task): void {
+    void task.run(this._stop.signal)
+  }
+
   /** Ends the process without a word, as a crash or a pause without end does. */
   kill (): void {
     this._stop.abort()
@@ -162,6 +176,8 @@
   readonly controls: PlayedControl[] = []
   /** Entry processes that don't answer. */
   readonly silent = new Set<string>()
+  /** VMs that each entry process cannot reach. */
+  readonly suspected = new Map<string, string[]>()
   /** VMs on which the entry processes still have work. */
   readonly busy = new Set<string>()
   private readonly _entries: string[] = []
@@ -215,7 +231,7 @@
       for (const control of this.controls) {
         const { offset } = control.keeper.state
         const entries = this._entries.filter(name => !this.silent.has(name)).map(member => ({
-          member, incarnation: '1', sequence: this._sequence++, offset, freshAt: this.clock.now(), reachesLog: true, busyVirtualMachines: [...this.busy]
+          member, incarnation: '1', sequence: this._sequence++, offset, freshAt: this.clock.now(), reachesLog: true, busyVirtualMachines: [...this.busy], suspectedVirtualMachines: this.suspected.get(member) ?? []
         }))
         control.membership.observe(entries)
       }
--- /dev/null
+++ b/tests/upkeep.test.ts
@@ -0,0 +1,124 @@
+/**
+ * Absent VMs, processes that are gone, and snapshots ahead of retention.
+ */
+import { describe, expect, it } from 'vitest'
+import { AbsenceTask } from '../src/control/absence-task.js'
+import { MemberSweepTask } from '../src/control/member-sweep-task.js'
+import { SnapshotTask } from '../src/control/snapshot-task.js'
+import { MemoryMetrics } from '../src/observability/memory-metrics.js'
+import type { Command } from '../src/schemas/command.js'
+import { Pool } from '../src/schemas/pool.js'
+import { Queue } from '../src/schemas/queue.js'
+import { LogFollowerTask } from '../src/state/log-follower-task.js'
+import { StateKeeper } from '../src/state/state-keeper.js'
+import { SeededRandomSource } from '../src/supervision/seeded-random-source.js'
+import { ControlFleet } from './support/control-fleet.js'
+
+function configuration (): Command[] {
+  return [
+    { kind: 'put-pool', value: Pool.parse({ name: 'one', minimumServing: 1 }), expectedVersion: 0 },
+    ...[0, 1, 2].map((index): Command => ({
+      kind: 'put-virtual-machine', value: { id: `vm-${index}`, pool: 'one', availabilityZone: 'a', rack: 'r', address: { host: '127.0.0.1', port: 10_000 + index } }, expectedVersion: 0
+    })),
+    { kind: 'put-queue', value: Queue.parse({ name: 'work', pool: 'one', maximumTimeoutMilliseconds: 60_000 }), expectedVersion: 0 },
+    { kind: 'put-team', value: { name: 'team', share: 1, upperLimit: 8 }, expectedVersion: 0 }
+  ]
+}
+
+async function started (controls = 1): Promise<ControlFleet> {
+  const fleet = new ControlFleet()
+  await fleet.start(configuration(), controls)
+  return fleet
+}
+
+describe('a VM that fails unplanned', () => {
+  async function watched (): Promise<ControlFleet> {
+    const fleet = await started()
+    const [control] = fleet.controls
+    control?.run(new AbsenceTask(control.parts, control.membership, control.prober))
+    return fleet
+  }
+
+  function fail (fleet: ControlFleet, id: string, isDown: boolean): void {
+    const machine = fleet.platform.machines.get(id)
+    if (machine) machine.isDown = isDown
+  }
+
+  it('is absent once two observers cannot reach it, and serves again when it answers', async () => {
+    const fleet = await watched()
+    fail(fleet, 'vm-1', true)
+    fleet.suspected.set('entry-a', ['vm-1'])
+    await fleet.until(() => fleet.state.virtualMachines.get('vm-1')?.isAbsent === true, 'absent')
+    expect(fleet.state.servingIn('one').length).toBe(2)
+    fail(fleet, 'vm-1', false)
+    fleet.suspected.clear()
+    await fleet.until(() => fleet.state.virtualMachines.get('vm-1')?.isAbsent === false, 'back')
+    expect(fleet.state.virtualMachines.get('vm-1')?.slowStartDeadline).toBeGreaterThan(fleet.clock.now() - 10_000)
+  })
+
+  it('is taken from nobody by a single observer, whichever it is', async () => {
+    const fleet = await watched()
+    fleet.suspected.set('entry-a', ['vm-0', 'vm-2'])
+    fail(fleet, 'vm-1', true)
+    await fleet.clock.advance(60_000)
+    expect(fleet.state.servingIn('one').length).toBe(3)
+  })
+})
+
+describe('an entry process that is gone', () => {
+  async function swept (): Promise<ControlFleet> {
+    const fleet = await started()
+    fleet.platform.listed = ['entry-a', 'entry-b']
+    const [control] = fleet.controls
+    control?.run(new MemberSweepTask(control.parts, control.membership, fleet.platform))
+    await fleet.clock.advance(10_000)
+    return fleet
+  }
+
+  it('is ended when the list lacks it and it is silent, and its units come back after its longest request', async () => {
+    const fleet = await swept()
+    const held = (): number => fleet.state.unitsHeldBy({ member: 'entry-b', incarnation: '1' }, 'team')
+    expect(held()).toBe(4)
+    fleet.platform.listed = ['entry-a']
+    fleet.silent.add('entry-b')
+    const silentSince = fleet.clock.now()
+    await fleet.until(() => !fleet.state.members.has('entry-b'), 'ended')
+    expect(held()).toBe(4)
+    await fleet.until(() => held() === 0, 'units back')
+    expect(fleet.clock.now() - silentSince).toBeGreaterThan(60_000)
+  })
+
+  it('stays while it is only silent, only missing from a list that lags, or was never listed', async () => {
+    const fleet = await swept()
+    fleet.silent.add('entry-b')
+    await fleet.clock.advance(120_000)
+    expect(fleet.state.members.has('entry-b')).toBe(true)
+    fleet.silent.clear()
+    fleet.platform.listed = []
+    await fleet.clock.advance(120_000)
+    expect([fleet.state.members.has('entry-a'), fleet.state.members.has('entry-b'), fleet.state.members.has('control-0')]).toEqual([true, true, true])
+  })
+})
+
+describe('snapshots', () => {
+  it('are written ahead of retention by whoever holds the lease, and a new reader starts from them', async () => {
+    const fleet = await started(2)
+    for (const control of fleet.controls) control.run(new SnapshotTask(control.parts, control.writer, 100))
+    await fleet.clock.advance(5_000)
+    const first = fleet.state.leases.get('snapshots')?.holder.member
+    fleet.controls.filter(control => control.name === first).forEach(control => control.kill())
+    fleet.controls.splice(0, fleet.controls.length, ...fleet.controls.filter(control => control.name !== first))
+    for (let index = 0; index < 300; index++) {
+      await fleet.change({ kind: 'put-team', value: { name: `team-${index}`, share: 1, upperLimit: 1 }, expectedVersion: 0 })
+      fleet.log.retain(150)
+    }
+    expect(fleet.state.leases.get('snapshots')?.holder.member).not.toBe(first)
+    expect(fleet.log.records[0]?.offset).toBeGreaterThan(1)
+    const keeper = new StateKeeper(fleet.clock, new MemoryMetrics())
+    const stop = new AbortController()
+    void new LogFollowerTask(fleet.log, keeper, fleet.clock, new SeededRandomSource(1), new MemoryMetrics()).run(stop.signal)
+    await fleet.clock.advance(5_000)
+    stop.abort()
+    expect(keeper.state.toSnapshot()).toEqual(fleet.state.toSnapshot())
+  })
+})
