Ride out nine seconds without the store; count time that a machine was suspended

And the 3 s were counted by the steady clock alone, which stands still while a machine is suspended: an owner cut off from the store and suspended went on extending as if no time had passed, beside the next owner, who had stopped waiting.

Change: an owner extends for 6 s, as long as the time of day agrees. The next owner waits for the same 6 s, now counted from when it last heard of its predecessor in place of from its own claim: the claim is taken only if nothing was written in between, so that this is the predecessor's last sign of life.

Also: lint leaves out target/, which the platform's build writes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'coverage/**'] }),
+  ...neostandard({ ts: true, ignores: ['target/**', 'dist/**', 'coverage/**'] }),
   {
     rules: {
       'no-console': 'error',
--- a/src/jobs/journal-follower-task.ts
+++ b/src/jobs/journal-follower-task.ts
@@ -18,11 +18,17 @@
 /** Follows the journal in every process. */
 export class JournalFollowerTask extends FeedFollowerTask<JournalRecord> {
   override readonly name = 'journal'
+  private _ownerHeardAt = 0
 
   constructor (readonly book: JobBook, ...rest: ConstructorParameters<typeof FeedFollowerTask<JournalRecord>>) {
     super(...rest)
   }
 
+  /** Epoch milliseconds at which a record of an owner was last taken in: it was written before. */
+  get ownerHeardAt (): number {
+    return this._ownerHeardAt
+  }
+
   protected override reload (changes: ReadonlyArray<FeedChange<JournalRecord>>): void {
     // Progress is kept apart from its submission, so submissions go before it; and an outcome outlives late copies of its submission.
     const ranked = changes.toSorted((left, right) => this._rank(left) - this._rank(right))
@@ -34,7 +40,9 @@
   }
 
   protected override apply ({ value, offset }: FeedChange<JournalRecord>): void {
+    const { ownerRecords } = this.book
     this.book.apply(value, offset)
+    if (this.book.ownerRecords !== ownerRecords) this._ownerHeardAt = this.clock.now()
   }
 
   protected override waitMilliseconds (): number {
--- a/src/main/owner-tree.ts
+++ b/src/main/owner-tree.ts
@@ -15,6 +15,7 @@
 import type { DecisionLog } from '../observability/decision-log.js'
 import type { Metrics } from '../observability/metrics.js'
 import { OwnerFactory } from '../ownership/owner-factory.js'
+import type { TermClaim } from '../ownership/term-claim.js'
 import { HttpWorkerConnector } from '../platform/http-worker-connector.js'
 import { KeyedTopic } from '../platform/keyed-topic.js'
 import type { CallClient } from '../platform/call-client.js'
@@ -58,8 +59,8 @@
 /** Lease asked for, in milliseconds: outlasts a change of owner; work lost with a worker starts again after it. */
 const LEASE_MILLISECONDS = 5_000
 
-/** How long an owner that the store doesn't hear goes on extending leases, in milliseconds; with the lease it outlasts most outages of the store. */
-const EXTENSION_MILLISECONDS = 3_000
+/** How long an owner that the store doesn't hear goes on extending leases, in milliseconds: with the lease it outlasts nine seconds of outage. */
+const EXTENSION_MILLISECONDS = 6_000
 
 /** Share of the longest lease that is asked for at most, so that a worker's clock never shortens it. */
 const LEASE_SHARE = 0.85
@@ -77,20 +78,20 @@
     super()
   }
 
-  override create (term: number, isHandover: boolean, onLost: (cause: string) => void): Supervisor {
+  override create (term: number, claim: TermClaim, onLost: (cause: string) => void): Supervisor {
     const { _clock: clock, _random: random, _metrics: metrics, _log: log, _configuration: configuration, _follower: follower } = this
     const { bounds } = this._settings()
     const lease = { milliseconds: Math.min(LEASE_MILLISECONDS, bounds.maximumLeaseMilliseconds * LEASE_SHARE), extensionMilliseconds: EXTENSION_MILLISECONDS }
     const holds = this._supervisor('holds')
     const orders = this._supervisor('orders')
-    const writer = new DecisionWriterTask(this._journal, follower.book, term, this._holder, onLost, clock, random, metrics)
+    const writer = new DecisionWriterTask(this._journal, follower.book, term, claim.sentAt, this._holder, onLost, clock, random, metrics)
     const runOrders: SupervisedRunOrders = new SupervisedRunOrders(
       orders,
       (task, worker) => new StartRunTask(task, worker, advice, schedule, runOrders, onLost, clock, metrics),
       (worker, task, run) => new StopRunTask(worker, task, run, schedule, onLost, clock, random, log)
     )
     const advice: AdviceTask = new AdviceTask(this._advisor, () => schedule.touch(), clock, metrics, log)
-    const roster = new WorkerRoster(configuration, lease, isHandover ? clock.now() : clock.now() + EXTENSION_MILLISECONDS, clock, log)
+    const roster = new WorkerRoster(configuration, lease, claim.isHandover ? clock.now() : claim.predecessorHeardAt + EXTENSION_MILLISECONDS, clock, log)
     const jobs = new JobRegister()
     const room = new RoomBook(new TeamUsage(configuration))
     const schedule: FleetSchedule = new FleetSchedule(configuration, writer, runOrders, jobs, roster, room, clock, metrics, log)
--- a/src/ownership/term-task.ts
+++ b/src/ownership/term-task.ts
@@ -10,6 +10,7 @@
 import type { RandomSource } from '../supervision/random-source.js'
 import { Task } from '../supervision/task.js'
 import type { OwnerFactory } from './owner-factory.js'
+import type { TermClaim } from './term-claim.js'
 
 /** Part of a term's number that is drawn, so that two processes never claim the same term. */
 const TERM_VARIETY = 2 ** 20
@@ -38,24 +39,23 @@
 
   override async run (signal: AbortSignal): Promise<void> {
     const term = (Math.floor(this._follower.book.term.number / TERM_VARIETY) + 1) * TERM_VARIETY + this._random.integer(TERM_VARIETY)
-    const before = this._follower.book.term
-    const offset = await this._claim(term, before.number, signal)
-    if (offset === null) return
+    const claim = await this._claim(term, signal)
+    if (claim === null) return
     // The store takes nothing more of earlier terms after the claim; what they decided before it has to be known.
-    while (this._follower.next <= offset && !signal.aborted) await this._follower.changed.wait(this._clock, Infinity, signal)
+    while (this._follower.next <= claim.offset && !signal.aborted) await this._follower.changed.wait(this._clock, Infinity, signal)
     if (signal.aborted) return
     if (this._follower.book.term.number !== term) {
       this._log.note('claim overtaken', { term, by: this._follower.book.term.number, holder: this._follower.book.term.holder })
       return
     }
-    await this._own(term, before.isReleased && before.number > 0, signal)
+    await this._own(term, claim, signal)
   }
 
-  private async _own (term: number, isHandover: boolean, signal: AbortSignal): Promise<void> {
+  private async _own (term: number, claim: TermClaim, signal: AbortSignal): Promise<void> {
     const lost = new AbortController()
     const stop = (): void => lost.abort()
     signal.addEventListener('abort', stop, { once: true })
-    const owner = this._owners.create(term, isHandover, cause => {
+    const owner = this._owners.create(term, claim, cause => {
       if (!lost.signal.aborted) this._log.note('term lost', { term, cause })
       lost.abort()
     })
@@ -75,17 +75,21 @@
     await this._clock.sleepUntil(this._clock.now() + STOP_TIMEOUT_MILLISECONDS)
   }
 
-  /** Offset of the claim, or null if another process was ahead. */
-  private async _claim (term: number, before: number, signal: AbortSignal): Promise<number | null> {
+  /** The claim, or null if another process was ahead. */
+  private async _claim (term: number, signal: AbortSignal): Promise<TermClaim | null> {
+    const before = this._follower.book.term
     while (!signal.aborted) {
+      const sentAt = this._clock.now()
+      // The claim is taken only if nothing was written since, so that this is the predecessor's last sign of life.
+      const predecessorHeardAt = this._follower.ownerHeardAt
       const claim = await this._journal.append(
-        [{ kind: 'term', term, holder: this._holder, isReleased: false, at: this._clock.now() }], { term, sequence: 0, expectedEnd: this._follower.next }, this._clock.now() + CLAIM_TIMEOUT_MILLISECONDS, signal)
-      if (claim.isRight()) return claim.unsafeCoerce()
+        [{ kind: 'term', term, holder: this._holder, isReleased: false, at: sentAt }], { term, sequence: 0, expectedEnd: this._follower.next }, sentAt + CLAIM_TIMEOUT_MILLISECONDS, signal)
+      if (claim.isRight()) return { offset: claim.unsafeCoerce(), sentAt, isHandover: before.isReleased && before.number > 0, predecessorHeardAt }
       const error = claim.extract() as FeedError
       if (error.kind === 'moved') {
         // Either somebody submitted a job, or another process has claimed.
         await this._follower.changed.wait(this._clock, this._clock.now() + CLAIM_TIMEOUT_MILLISECONDS, signal)
-        if (this._follower.book.term.number !== before) return null
+        if (this._follower.book.term.number !== before.number) return null
         continue
       }
       this._log.note('claim failed', { term, cause: error.kind, detail: error.message })
--- a/src/scheduling/decision-writer-task.ts
+++ b/src/scheduling/decision-writer-task.ts
@@ -47,25 +47,31 @@
   private _sequence = 1
   private _renewedAt: number
   private _confirmedAt: number
+  private _confirmedTimeOfDay: number
   private _isWriting = false
 
   /**
    * @param _term whose first append, the claim, had sequence 0.
+   * @param claimedAt epoch milliseconds before which the claim was sent.
    * @param _onLost called when the store has seen a higher term.
    */
   constructor (
-    private readonly _journal: JobJournal, private readonly _book: JobBook, private readonly _term: number, private readonly _holder: string, private readonly _onLost: (cause: string) => void,
+    private readonly _journal: JobJournal, private readonly _book: JobBook, private readonly _term: number, claimedAt: number, private readonly _holder: string, private readonly _onLost: (cause: string) => void,
     private readonly _clock: Clock, random: RandomSource, private readonly _metrics: Metrics
   ) {
     super()
     this._renewedAt = _clock.now()
-    this._confirmedAt = this._renewedAt
+    this._confirmedAt = claimedAt
+    this._confirmedTimeOfDay = _clock.timeOfDay() - (this._renewedAt - claimedAt)
     this._backoff = new Backoff(_clock, random, ...BACKOFF_MILLISECONDS)
   }
 
-  /** Moment (epoch milliseconds) as of which the store has taken this term for the newest one. */
-  get confirmedAt (): number {
-    return this._confirmedAt
+  /**
+   * Whether the store has taken this term for the newest one within some milliseconds. A suspended machine's clock
+   * stands still, so that the time of day has to agree.
+   */
+  isConfirmedWithin (milliseconds: number): boolean {
+    return this._clock.now() < this._confirmedAt + milliseconds && this._clock.timeOfDay() < this._confirmedTimeOfDay + milliseconds
   }
 
   /** Whether anything waits to be written. */
@@ -141,12 +147,14 @@
     const fence = { term: this._term, sequence: this._sequence }
     for (;;) {
       const startedAt = this._clock.now()
+      const startedTimeOfDay = this._clock.timeOfDay()
       const result = await this._journal.append(records, fence, startedAt + ATTEMPT_TIMEOUT_MILLISECONDS, new AbortController().signal)
       if (result.isRight()) {
         const offset = result.unsafeCoerce()
         records.forEach((record, index) => this._book.apply(record, offset + index))
         this._sequence += 1
         this._confirmedAt = startedAt
+        this._confirmedTimeOfDay = startedTimeOfDay
         this._backoff.reset()
         this._metrics.timing('journal.append.milliseconds', this._clock.now() - startedAt)
         return true
--- a/src/scheduling/worker-hold-task.ts
+++ b/src/scheduling/worker-hold-task.ts
@@ -56,7 +56,7 @@
       const askedAt = this._clock.now()
       const wait = worker.heardAt > 0 && worker.handled === worker.acknowledged ? WAIT_MILLISECONDS : 0
       const request = {
-        leaseDeadline: this._mayExtend(askedAt) ? worker.extendLease(askedAt, this._lease.milliseconds) : null,
+        leaseDeadline: this._mayExtend() ? worker.extendLease(askedAt, this._lease.milliseconds) : null,
         acknowledged: worker.acknowledged,
         waitMilliseconds: wait
       }
@@ -79,8 +79,8 @@
    * A worker that doesn't answer may have taken the extension, so that each one would put off the moment when its runs are
    * surely gone. And a later owner counts on it that one without the store stops extending.
    */
-  private _mayExtend (now: number): boolean {
-    return this._failures === 0 && now < this._writer.confirmedAt + this._lease.extensionMilliseconds
+  private _mayExtend (): boolean {
+    return this._failures === 0 && this._writer.isConfirmedWithin(this._lease.extensionMilliseconds)
   }
 
   /** Ends may be acknowledged once the journal has them. */
--- a/src/supervision/clock.ts
+++ b/src/supervision/clock.ts
@@ -5,6 +5,12 @@
   /** The present time in epoch milliseconds. */
   abstract now (): number
 
+  /**
+   * The time of day in epoch milliseconds. Unlike `now`, it may be corrected by any amount, and it goes on
+   * while the machine is suspended.
+   */
+  abstract timeOfDay (): number
+
   /**
    * Waits until `deadline` (epoch milliseconds) has come.
    *
--- a/src/supervision/steady-clock.ts
+++ b/src/supervision/steady-clock.ts
@@ -18,6 +18,10 @@
     return this._origin + performance.now()
   }
 
+  override timeOfDay (): number {
+    return Date.now()
+  }
+
   override async sleepUntil (deadline: number, signal?: AbortSignal): Promise<void> {
     const wait = Math.min(Math.max(deadline - this.now(), 0), MAXIMUM_TIMER_MILLISECONDS)
     await delay(wait, undefined, signal ? { signal } : {})
--- a/src/supervision/system-clock.ts
+++ b/src/supervision/system-clock.ts
@@ -13,6 +13,10 @@
     return Date.now()
   }
 
+  override timeOfDay (): number {
+    return Date.now()
+  }
+
   override async sleepUntil (deadline: number, signal?: AbortSignal): Promise<void> {
     const wait = Math.min(Math.max(deadline - Date.now(), 0), MAXIMUM_TIMER_MILLISECONDS)
     await delay(wait, undefined, signal ? { signal } : {})
--- a/tests/decision-writer.test.ts
+++ b/tests/decision-writer.test.ts
@@ -44,7 +44,7 @@
   const journal = new ToldJournal(clock, answers)
   const metrics = new MemoryMetrics()
   const lost: string[] = []
-  const made = new DecisionWriterTask(journal, new JobBook(), 5, 'holder', cause => lost.push(cause), clock, new SeededRandomSource(1), metrics)
+  const made = new DecisionWriterTask(journal, new JobBook(), 5, clock.now(), 'holder', cause => lost.push(cause), clock, new SeededRandomSource(1), metrics)
   const root = new Supervisor('root', clock, new DecisionLogObserver(new QuietLog(), metrics))
   root.add(made)
   root.run(new AbortController().signal).catch(() => {})
--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -263,6 +263,25 @@
   expect(made.violations()).toEqual([])
 })
 
+test('an owner that was suspended does not extend leases as if no time had passed', async () => {
+  const made = await EmulatedFleet.ready(2, ['one', 'two', 'three'])
+  const owner = made.owner()
+  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  made.fates.set('aaaa.0.0.0', { milliseconds: Infinity, how: 'done' })
+  await made.submit(other, 'aaaa', [{ isLasting: true }])
+  await made.clock.advance(1_000)
+  const worker = made.emulator.lives.find(({ id }) => id === made.starts('aaaa.0.0.0')[0]?.worker)
+  made.emulator.faults.cutCallers.add(owner)
+  if (worker) made.emulator.faults.reach.set(worker.address, new Set([owner]))
+  // Shorter than a lease, so that the run is still there when the owner goes on.
+  made.nodes.get(owner)?.clock.suspend()
+  await made.clock.advance(4_500)
+  made.nodes.get(owner)?.clock.resume()
+  await made.clock.advance(15_000)
+  expect(made.starts('aaaa.0.0.0')).toHaveLength(2)
+  expect(made.violations()).toEqual([])
+})
+
 test('an owner whose term is lost acknowledges nothing that it could not write', async () => {
   const made = await EmulatedFleet.ready(2, ['one', 'two', 'three'])
   const owner = made.owner()
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -11,6 +11,7 @@
 import { PlatformEmulator } from '../../stand-ins/emulator/platform-emulator.js'
 import { FakeClock } from './fake-clock.js'
 import { QuietLog } from './quiet-log.js'
+import { SuspendableClock } from './suspendable-clock.js'
 
 /** Host, prefix and key of the queue that tests use. */
 const HOST = 'fleet.example'
@@ -41,6 +42,7 @@
   readonly tree: NodeTree
   readonly log: QuietLog
   readonly stop: AbortController
+  readonly clock: SuspendableClock
   ended: Promise<unknown>
 }
 
@@ -102,9 +104,10 @@
       }
     })
     const log = new QuietLog()
-    const tree = new NodeTree(settings, new EmulatorDialer(this.emulator, name, this.clock), this.clock, new SeededRandomSource(this._seed + this.nodes.size), new MemoryMetrics(), log)
+    const clock = new SuspendableClock(this.clock)
+    const tree = new NodeTree(settings, new EmulatorDialer(this.emulator, name, clock), clock, new SeededRandomSource(this._seed + this.nodes.size), new MemoryMetrics(), log)
     const stop = new AbortController()
-    const node = { tree, log, stop, ended: tree.headless().run(stop.signal) }
+    const node = { tree, log, stop, clock, ended: tree.headless().run(stop.signal) }
     this.emulator.faults.deadCallers.delete(name)
     this.nodes.set(name, node)
     return node
--- a/tests/support/fake-clock.ts
+++ b/tests/support/fake-clock.ts
@@ -23,6 +23,10 @@
     return this._now
   }
 
+  override timeOfDay (): number {
+    return this._now
+  }
+
   override sleepUntil (deadline: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return Promise.reject(signal.reason)
     if (deadline <= this._now) return new Promise(resolve => setImmediate(resolve))
