Order VMs about only once the schedule knows what runs on them

A new owner starts its tasks side by side; the wave task took a VM whose worker it didn't know for an empty one. When the workers' registry was read later than the list of VMs (a slow store, a page of many workers), a VM was taken down with all tasks of a lasting step at work.

Shown: the new test fails before ("killed" three times) and passes after; the emulator can delay one topic's newest records for it.

--- a/src/capacity/wave-task.ts
+++ b/src/capacity/wave-task.ts
@@ -55,7 +55,7 @@
   constructor (
     private readonly _configuration: ConfigurationTask, private readonly _book: JobBook, private readonly _roster: WorkerRoster, private readonly _writer: DecisionWriterTask,
     private readonly _inventory: InventoryTask, private readonly _control: MachineControl, private readonly _board: WaveBoard, private readonly _reservations: MachineReservations,
-    private readonly _settings: LeaseSettings, private readonly _term: number, private readonly _onFenced: (cause: string) => void,
+    private readonly _settings: LeaseSettings, private readonly _term: number, private readonly _onFenced: (cause: string) => void, private readonly _isAdopted: () => boolean,
     private readonly _clock: Clock, private readonly _log: DecisionLog
   ) {
     super()
@@ -64,7 +64,7 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const now = this._clock.now()
-      for (const wave of this._configuration.waves) await this._advance(wave, now, signal)
+      if (this._isAdopted()) for (const wave of this._configuration.waves) await this._advance(wave, now, signal)
       await this._clock.sleepUntil(now + INTERVAL_MILLISECONDS, signal).catch(() => {})
     }
   }
--- a/src/main/owner-tree.ts
+++ b/src/main/owner-tree.ts
@@ -104,26 +104,28 @@
     )
     const viewAt = (): number => Math.min(follower.freshAt, configuration.freshAt)
     const placement = new PlacementTask(schedule, jobs, roster, room, new UrgencyPlacement(configuration, room.usage), advice, configuration, viewAt, clock, metrics, log)
+    const adoption = new AdoptionTask(follower.book, directory, schedule, placement, clock)
 
     const owner = this._supervisor('owner')
-    for (const child of [writer, orders, holds, directory, advice, new AdoptionTask(follower.book, directory, schedule, placement, clock), new OutcomeTask(follower.book, jobs, writer, bounds.statusRetentionMilliseconds, clock), new VacatingTask(schedule, roster, clock), new PaceTask(roster, clock, random, metrics, log)]) owner.add(child)
-    if (this._machines) for (const child of this._capacity(this._machines, jobs, roster, writer, bounds, term, onLost)) owner.add(child)
+    for (const child of [writer, orders, holds, directory, advice, adoption, new OutcomeTask(follower.book, jobs, writer, bounds.statusRetentionMilliseconds, clock), new VacatingTask(schedule, roster, clock), new PaceTask(roster, clock, random, metrics, log)]) owner.add(child)
+    if (this._machines) for (const child of this._capacity(this._machines, jobs, roster, writer, adoption, bounds, term, onLost)) owner.add(child)
     return owner
   }
 
   /** Tasks that order VMs about. */
-  private _capacity (control: MachineControl, jobs: JobRegister, roster: WorkerRoster, writer: DecisionWriterTask, bounds: LeaseSettings, term: number, onLost: (cause: string) => void): Task[] {
+  private _capacity (control: MachineControl, jobs: JobRegister, roster: WorkerRoster, writer: DecisionWriterTask, adoption: AdoptionTask, bounds: LeaseSettings, term: number, onLost: (cause: string) => void): Task[] {
     const { _clock: clock, _log: log, _configuration: configuration, _follower: { book } } = this
     const inventory = new InventoryTask(control, clock, log)
     const reservations = new MachineReservations(book, writer, term, bounds.holderChangeMilliseconds, clock)
     const board = new StatusWaveBoard(new KeyedTopic(this._store, STATUS_TOPIC, clock))
-    const isViewCurrent = (): boolean => Math.min(this._follower.freshAt, configuration.freshAt) > clock.now() - MAXIMUM_VIEW_AGE_MILLISECONDS
+    const isAdopted = (): boolean => adoption.isDone
+    const isViewCurrent = (): boolean => isAdopted() && Math.min(this._follower.freshAt, configuration.freshAt) > clock.now() - MAXIMUM_VIEW_AGE_MILLISECONDS
     return [
       inventory,
       new PoolSizingTask(
         configuration, new PoolSituations(configuration, jobs, roster, inventory), roster, new DemandPoolSizing(), inventory, control, reservations, bounds, term, onLost, isViewCurrent, clock, this._metrics, log
       ),
-      new WaveTask(configuration, book, roster, writer, inventory, control, board, reservations, bounds, term, onLost, clock, log)
+      new WaveTask(configuration, book, roster, writer, inventory, control, board, reservations, bounds, term, onLost, isAdopted, clock, log)
     ]
   }
 
--- a/src/scheduling/adoption-task.ts
+++ b/src/scheduling/adoption-task.ts
@@ -10,6 +10,7 @@
 /** Waits for the workers' registry, takes over all jobs, then runs the placement. */
 export class AdoptionTask extends Task {
   override readonly name = 'adoption'
+  private _isDone = false
 
   constructor (
     private readonly _book: JobBook, private readonly _directory: WorkerDirectoryTask, private readonly _schedule: FleetSchedule,
@@ -18,11 +19,17 @@
     super()
   }
 
+  /** Whether the schedule knows all workers and what runs on them: before that an idle VM can't be told from a busy one. */
+  get isDone (): boolean {
+    return this._isDone
+  }
+
   override async run (signal: AbortSignal): Promise<void> {
     while (!this._directory.isLoaded && !signal.aborted) await this._directory.changed.wait(this._clock, Infinity, signal)
     if (signal.aborted) return
     for (const job of this._book.jobs) this._schedule.jobSubmitted(job)
     this._book.observer = this._schedule
+    this._isDone = true
     await this._placement.run(signal)
   }
 }
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -21,6 +21,8 @@
   refusal = 0
   /** Time that each answer of the store takes, in milliseconds. */
   latencyMilliseconds = 4
+  /** Extra time that reads of a topic's newest records take, in milliseconds, by topic. */
+  readonly slowTopics = new Map<string, number>()
   /** Appends to come that are carried out without an answer. */
   lostAnswers = 0
   /** Starts to come that get no answer and are carried out late. */
@@ -36,10 +38,10 @@
   }
 
   /** Serves a call of the store under the present faults; null stands for no answer. */
-  async apply (caller: string, call: string, serve: () => Promise<StoreAnswer>, clock: Clock): Promise<StoreAnswer | null> {
+  async apply (caller: string, call: string, topic: string, serve: () => Promise<StoreAnswer>, clock: Clock): Promise<StoreAnswer | null> {
     if (this.cutCallers.has(caller)) return null
     if (this.refusal !== 0) return { status: this.refusal, body: {} }
-    await clock.sleepUntil(clock.now() + this.latencyMilliseconds)
+    await clock.sleepUntil(clock.now() + this.latencyMilliseconds + (call === 'log-newest' ? this.slowTopics.get(topic) ?? 0 : 0))
     const answer = await serve()
     if (call === 'log-append' && this.lostAnswers > 0) {
       this.lostAnswers -= 1
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -108,7 +108,7 @@
     const url = new URL(path, 'http://emulator')
     const call = url.pathname.slice(url.pathname.lastIndexOf('/') + 1)
     if (address === STORE) {
-      const answer = await this.faults.apply(request.caller, call, () => this.store.handle(call, url.searchParams, body), this._clock)
+      const answer = await this.faults.apply(request.caller, call, url.searchParams.get('topic') ?? '', () => this.store.handle(call, url.searchParams, body), this._clock)
       return answer ? this._answer(answer) : null
     }
     if (address === MACHINES && call === 'machines') return this._answer({ status: 200, body: this.machines.list() })
--- a/tests/fleet-capacity.test.ts
+++ b/tests/fleet-capacity.test.ts
@@ -48,6 +48,29 @@
   expect(made.violations()).toEqual([])
 })
 
+test('a new owner orders no maintenance before it knows what runs on the VM', async () => {
+  const made = new EmulatedFleet(1)
+  for (let count = 0; count < 2; count++) made.emulator.addMachine('work', 'a')
+  made.configure()
+  made.start('one')
+  made.start('two')
+  await made.clock.advance(2_000)
+  for (let index = 0; index < 3; index++) made.fates.set(`aaaa.0.0.${index}`, { milliseconds: Infinity, how: 'done' })
+  const owner = made.owner()
+  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  await made.submit(other, 'aaaa', [{ count: 3, isLasting: true, disruptionBudget: 1 }])
+  await made.clock.advance(1_000)
+  const machine = made.emulator.lives.find(({ running }) => running.length > 0)?.machine ?? ''
+  // The next owner learns of the VMs long before it learns of the workers.
+  made.emulator.faults.slowTopics.set('keyed.servers', 3_000)
+  made.kill(owner)
+  made.emulator.publish('wave/1', { wave: 1, machines: [machine], duration_s: 60, max_count: 1 })
+  await made.clock.advance(30_000)
+  expect(made.emulator.lives.flatMap(({ ends }) => ends).filter(({ how }) => how === 'killed')).toEqual([])
+  expect([...made.emulator.machines.machines.get(machine)?.waves ?? []]).toEqual([1])
+  expect(made.violations()).toEqual([])
+})
+
 test('a new owner leaves a VM alone that the one before ordered about just now', async () => {
   const made = new EmulatedFleet(3)
   for (let count = 0; count < 3; count++) made.emulator.addMachine('work', 'a')
