Outlive a full or closed standard output

Node's file streams try a non-blocking pipe that is full six times at once, then fail for good; nothing listened for that error, so that it ended the process. A trial with an unread pipe showed it.

--- a/src/observability/standard-output-log.ts
+++ b/src/observability/standard-output-log.ts
@@ -1,10 +1,10 @@
 /**
  * The decision log on standard output.
  */
-import { createWriteStream, type WriteStream } from 'node:fs'
 import { createLogger, format, transports, type Logger } from 'winston'
 import type { Clock } from '../supervision/clock.js'
 import { DecisionLog } from './decision-log.js'
+import { DescriptorStream } from './descriptor-stream.js'
 import type { Metrics } from './metrics.js'
 
 /** File descriptor of standard output. */
@@ -19,9 +19,9 @@
 /** One millisecond short of a second is never counted as one. */
 const SECOND_MILLISECONDS = 1_000
 
-/** Writes JSON lines. The stream writes from libuv's threads, because Node's own `stdout` blocks on pipes. */
+/** Writes JSON lines, and drops them rather than wait for a slow reader or end with a broken one. */
 export class StandardOutputLog extends DecisionLog {
-  private readonly _stream: WriteStream
+  private readonly _stream = new DescriptorStream(STANDARD_OUTPUT)
   private readonly _logger: Logger
   private _windowEnd = 0
   private _written = 0
@@ -30,7 +30,8 @@
   /** @param process name of the process, in every line. */
   constructor (process: string, private readonly _clock: Clock, private readonly _metrics: Metrics) {
     super()
-    this._stream = createWriteStream('', { fd: STANDARD_OUTPUT, autoClose: false })
+    // A reader that is gone must not end the process; whatever is written afterwards is dropped by the stream.
+    this._stream.on('error', () => this._metrics.count('logs.failed'))
     this._logger = createLogger({
       defaultMeta: { process },
       format: format.json(),
