--- a/src/main/owner-tree.ts
+++ b/src/main/owner-tree.ts
@@ -6,6 +6,7 @@
 import type { MachineControl } from '../capacity/machine-control.js'
 import { MachineReservations } from '../capacity/machine-reservations.js'
 import { PoolSituations } from '../capacity/pool-situations.js'
+import { PoolStrength } from '../capacity/pool-strength.js'
 import { PoolSizingTask } from '../capacity/pool-sizing-task.js'
 import { VacatingTask } from '../capacity/vacating-task.js'
 import { WaveTask } from '../capacity/wave-task.js'
@@ -123,7 +124,7 @@
     return [
       inventory,
       new PoolSizingTask(
-        configuration, new PoolSituations(configuration, jobs, roster, inventory), roster, new DemandPoolSizing(), inventory, control, reservations, bounds, term, onLost, isViewCurrent, clock, this._metrics, log
+        configuration, new PoolSituations(configuration, jobs, roster, inventory, new PoolStrength(configuration, roster, inventory)), roster, new DemandPoolSizing(), inventory, control, reservations, bounds, term, onLost, isViewCurrent, clock, this._metrics, log
       ),
       new WaveTask(configuration, book, roster, writer, inventory, control, board, reservations, bounds, term, onLost, isAdopted, clock, log)
     ]
