Let an owner that stops finish the starts it has decided on

At the owner's SIGTERM its starts on their way were broken off, and those whose decision was still being written were never sent: some thirty tasks were "not on its worker" for the next owner, 1.2 s later, and began anew.

Change: a start isn't broken off by a stop (it has a limit of 600 ms anyway), and the writer stops before the orders, so that what it wrote last is still sent. The emulator drops a call that was broken off before the worker began with it.

Ruled out: that a start after the release could harm: once the next owner has asked a worker, its token refuses older orders.

--- a/src/main/owner-tree.ts
+++ b/src/main/owner-tree.ts
@@ -108,7 +108,8 @@
     const adoption = new AdoptionTask(follower.book, directory, schedule, placement, clock)
 
     const owner = this._supervisor('owner')
-    for (const child of [writer, orders, holds, directory, advice, adoption, new OutcomeTask(follower.book, jobs, writer, bounds.statusRetentionMilliseconds, clock), new VacatingTask(schedule, roster, clock), new PaceTask(roster, clock, random, metrics, log)]) owner.add(child)
+    // The last child stops first: placement, then the writer, whose last decisions still become orders.
+    for (const child of [orders, writer, holds, directory, advice, adoption, new OutcomeTask(follower.book, jobs, writer, bounds.statusRetentionMilliseconds, clock), new VacatingTask(schedule, roster, clock), new PaceTask(roster, clock, random, metrics, log)]) owner.add(child)
     if (this._machines) for (const child of this._capacity(this._machines, jobs, roster, writer, adoption, bounds, term, onLost)) owner.add(child)
     return owner
   }
--- a/src/scheduling/start-run-task.ts
+++ b/src/scheduling/start-run-task.ts
@@ -15,7 +15,10 @@
 /** Limit on the order, in milliseconds; a worker answers within a few. */
 const START_TIMEOUT_MILLISECONDS = 600
 
-/** Sends the order once. Without an answer the run is stopped, so that it can't come late. */
+/**
+ * Sends the order once. Without an answer the run is stopped, so that it can't come late. An owner that
+ * stops lets the order finish: a start broken off is work lost if the worker has taken it.
+ */
 export class StartRunTask extends Task {
   override readonly name = 'start-run'
 
@@ -28,14 +31,14 @@
     super()
   }
 
-  override async run (signal: AbortSignal): Promise<void> {
+  override async run (): Promise<void> {
     const { _task: task, _worker: worker } = this
     const { run, name } = task
     const { client } = worker
     const order = { task: name, run, specification: task.step.job.view.submission.specification, checkpoint: task.checkpoint, ticket: this._advice.ticket(task.step, worker) ?? '' }
     const span = trace.getTracer('samphireglade').startSpan('start run', { attributes: { task: name, run, worker: worker.entry.id } }, context.active())
     const sentAt = this._clock.now()
-    const answer = client ? await client.start(order, worker.leaseDeadline, sentAt + START_TIMEOUT_MILLISECONDS, signal) : null
+    const answer = client ? await client.start(order, worker.leaseDeadline, sentAt + START_TIMEOUT_MILLISECONDS, new AbortController().signal) : null
     this._metrics.timing('runs.start.milliseconds', this._clock.now() - sentAt)
     if (answer?.isLeft()) span.setStatus({ code: SpanStatusCode.ERROR })
     span.end()
--- a/stand-ins/emulator/emulator-dialer.ts
+++ b/stand-ins/emulator/emulator-dialer.ts
@@ -16,7 +16,7 @@
 
   override async call ({ path, headers = {}, body, deadline, signal }: Parameters<CallClient['call']>[0]): ReturnType<CallClient['call']> {
     const bytes = body === undefined ? Buffer.alloc(0) : Buffer.isBuffer(body) ? body : Buffer.from(JSON.stringify(body))
-    const answered = this._emulator.handle({ caller: this._caller, address: this._address, path, headers, body: bytes })
+    const answered = this._emulator.handle({ caller: this._caller, address: this._address, path, headers, body: bytes, isBrokenOff: () => signal.aborted })
     const expired = this._clock.sleepUntil(deadline, signal).then(() => null, () => null)
     // Without an answer the connection stays silent until the deadline.
     const answer = await Promise.race([answered.then(found => found ?? expired), expired])
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -25,6 +25,8 @@
   readonly slowTopics = new Map<string, number>()
   /** Appends to come that are carried out without an answer. */
   lostAnswers = 0
+  /** Time that a worker takes over a start, in milliseconds. */
+  startLatencyMilliseconds = 0
   /** Starts to come that get no answer and are carried out late. */
   lateStarts = 0
   /** How late, in milliseconds. */
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -29,6 +29,8 @@
   readonly path: string
   readonly headers: Readonly<Record<string, string>>
   readonly body: Buffer
+  /** Whether the caller has broken the call off: a worker that has not begun with it drops it. */
+  readonly isBrokenOff?: () => boolean
 }
 
 /** Transport-independent: tests call it directly, `EmulatorServer` serves it over HTTP. */
@@ -118,10 +120,10 @@
     if (address === ADVICE) return this._advise(JSON.parse(body.toString()) as { workers: string[] })
     const reach = this.faults.reach.get(address)
     if (reach && !reach.has(request.caller)) return null
-    return this._callWorker(address, call, headers, body)
+    return this._callWorker(request, call)
   }
 
-  private async _callWorker (address: string, call: string, headers: Readonly<Record<string, string>>, body: Buffer): Promise<{ status: number, body: Buffer } | null> {
+  private async _callWorker ({ address, headers, body, isBrokenOff }: EmulatedRequest, call: string): Promise<{ status: number, body: Buffer } | null> {
     const worker = this._workers.get(address)
     if (!worker || worker.isCut) return null
     if (headers['expect-instance'] !== worker.id) return this._answer({ status: 421, body: {} })
@@ -130,6 +132,8 @@
       this._clock.sleepUntil(this._clock.now() + this.faults.lateMilliseconds).then(() => worker.handle(call, order)).catch(() => {})
       return null
     }
+    if (call === 'run-start' && this.faults.startLatencyMilliseconds > 0) await this._clock.sleepUntil(this._clock.now() + this.faults.startLatencyMilliseconds)
+    if (isBrokenOff?.()) return null
     const answer = await worker.handle(call, order)
     return worker.isCut || this._workers.get(address) !== worker ? null : this._answer(answer)
   }
--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -39,6 +39,23 @@
   expect(made.nodes.get(other)?.log.of('term begins')).toHaveLength(1)
 })
 
+test.each([0, 20])('what the owner has decided %i ms before it stops in good order is neither lost nor repeated', async age => {
+  const made = await EmulatedFleet.ready(1, ['one', 'two'])
+  const owner = made.owner()
+  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  made.emulator.faults.startLatencyMilliseconds = 100
+  for (let index = 0; index < 4; index++) made.fates.set(`aaaa.0.0.${index}`, { milliseconds: 3_000, how: 'done' })
+  await made.submit(other, 'aaaa', [{ count: 4 }])
+  while (made.nodes.get(owner)?.log.of('runs placed').length === 0) await made.clock.advance(5)
+  // The decision is being written, or the orders are on their way.
+  await made.clock.advance(age)
+  made.nodes.get(owner)?.stop.abort()
+  await made.clock.advance(10_000)
+  expect(await made.state(other, 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+  for (let index = 0; index < 4; index++) expect(made.starts(`aaaa.0.0.${index}`).map(({ run }) => run)).toEqual([1])
+  expect(made.violations()).toEqual([])
+})
+
 test('only one of several processes that claim at once becomes owner', async () => {
   for (const seed of [1, 2, 3, 4, 5]) {
     const made = await EmulatedFleet.ready(1, ['one', 'two', 'three', 'four', 'five'], seed)
