Keep new work away from a rack whose worker left an order unanswered

The owner noticed a silent worker by its holds, after 1.8 s; until then tasks went there, whose starts stay unsettled until the lease has lapsed, 5 s later. Workers of a rack fall silent together.

Change: a start without an answer puts the worker and its rack in doubt, unless the worker was heard from since; a report clears the doubt.

The new test fails without it (two workers unsettled).

--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -139,8 +139,13 @@
     this._requeue(task)
   }
 
-  /** No answer: the run may be there, or may come later; it is being stopped. */
-  unsettled (task: OwnedTask, run: number): void {
+  /**
+   * No answer: the run may be there, or may come later; it is being stopped.
+   *
+   * @param sentAt epoch milliseconds at which the order was sent.
+   */
+  unsettled (task: OwnedTask, worker: FleetWorker, run: number, sentAt: number): void {
+    this._roster.doubt(worker, sentAt)
     if (task.run !== run || task.phase !== 'placed') return
     this._metrics.count('runs.unsettled')
     this._log.note('start unsettled', { task: task.name, run, worker: task.workerId })
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -27,6 +27,8 @@
   isClosing = false
   /** Epoch milliseconds until which it gets nothing new. */
   avoidedUntil = 0
+  /** Epoch milliseconds since which it has to be heard from before it gets anything new. */
+  doubtedSince = 0
   /** Runs in a row that failed. */
   failuresInRow = 0
   /** Ends up to this number are in the journal. */
--- a/src/scheduling/start-run-task.ts
+++ b/src/scheduling/start-run-task.ts
@@ -53,7 +53,7 @@
       if (error.kind === 'ticket') this._advice.drop(task.step, worker)
       this._schedule.refused(task, worker, run, error)
     } else {
-      this._schedule.unsettled(task, run)
+      this._schedule.unsettled(task, worker, run, sentAt)
       this._orders.stop(worker, name, run)
     }
   }
--- a/src/scheduling/worker-roster.ts
+++ b/src/scheduling/worker-roster.ts
@@ -57,10 +57,24 @@
   isUsable (worker: FleetWorker, now: number): boolean {
     const { entry } = worker
     return worker.isListed && !entry.isDraining && !worker.isClosing && worker.avoidedUntil <= now &&
-      worker.leaseDeadline > 0 && worker.heardAt >= now - MAXIMUM_REPORT_AGE_MILLISECONDS &&
+      worker.leaseDeadline > 0 && worker.heardAt > worker.doubtedSince && worker.heardAt >= now - MAXIMUM_REPORT_AGE_MILLISECONDS &&
       !this._configuration.isZoneOut(entry.availabilityZone)
   }
 
+  /**
+   * A worker left an order unanswered. If it hasn't been heard from since, it may be out of reach, and then most likely with all
+   * of its rack: none of them gets anything new until it is heard from, which takes a second at most if all is well.
+   *
+   * @param since epoch milliseconds at which the order was sent.
+   */
+  doubt (worker: FleetWorker, since: number): void {
+    if (worker.doubtedSince >= since || worker.heardAt > since) return
+    const { rack, entry: { availabilityZone } } = worker
+    const doubted = [...this.all].filter(other => other === worker || (rack !== '' && other.rack === rack && other.entry.availabilityZone === availabilityZone))
+    for (const other of doubted) other.doubtedSince = Math.max(other.doubtedSince, since)
+    this._log.note('workers doubted', { worker: worker.entry.id, rack, since: Math.round(since), silent: doubted.filter(({ heardAt }) => heardAt <= since).length })
+  }
+
   /** Takes in an entry of a worker that isn't known yet, or of the incarnation that is. */
   list (entry: WorkerEntry): FleetWorker {
     const known = this._workers.get(entry.id)
--- a/stand-ins/emulator/emulated-machines.ts
+++ b/stand-ins/emulator/emulated-machines.ts
@@ -7,6 +7,7 @@
 interface EmulatedMachine {
   readonly id: string
   readonly zone: string
+  readonly rack: string
   pool: string
   state: 'up' | 'moving' | 'upkeep' | 'down'
   /** Worker that it is at present; empty while it is none. */
@@ -42,8 +43,8 @@
 
   /** Rows of the list. */
   list (): object {
-    const machines = [...this.machines.values()].map(({ id, pool, state, zone, worker }) => ({
-      machine: id, pool, state, zone, labels: ['a', 'r1'], capacity: { cpu: 64_000, mem_mb: 131_072 }, ...(worker === '' ? {} : { id: worker })
+    const machines = [...this.machines.values()].map(({ id, pool, state, zone, rack, worker }) => ({
+      machine: id, pool, state, zone, labels: ['a', rack], capacity: { cpu: 64_000, mem_mb: 131_072 }, ...(worker === '' ? {} : { id: worker })
     }))
     return { machines, next_page_token: null }
   }
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -61,9 +61,9 @@
   }
 
   /** Adds a VM to a pool; on standby it is no worker. */
-  addMachine (pool: string, zone: string): EmulatedWorker | null {
+  addMachine (pool: string, zone: string, rack = 'r1'): EmulatedWorker | null {
     const id = `m-${this.machines.machines.size}`
-    const machine = { id, zone, pool, state: 'up' as const, worker: '', waves: new Set<number>(), token: 0 }
+    const machine = { id, zone, rack, pool, state: 'up' as const, worker: '', waves: new Set<number>(), token: 0 }
     this.machines.machines.set(id, machine)
     if (pool === 'standby') return null
     const worker = this._startWorker(id, pool, zone)
@@ -169,7 +169,7 @@
       seq: 1,
       born: worker.born,
       capacity: { cpu: 64_000, mem_mb: 131_072 },
-      labels: ['a', 'r1'],
+      labels: ['a', this.machines.machines.get(worker.machine)?.rack ?? ''],
       clock_ms: worker.clock
     })
   }
--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -56,6 +56,26 @@
   expect(made.violations()).toEqual([])
 })
 
+test('a worker that leaves an order unanswered keeps new work away from its rack until it is heard from', async () => {
+  const made = new EmulatedFleet(1)
+  const first = made.emulator.addMachine('work', 'a', 'r1')
+  const second = made.emulator.addMachine('work', 'a', 'r1')
+  const third = made.emulator.addMachine('work', 'a', 'r2')
+  made.configure({ hasStandby: false })
+  made.start('one')
+  await made.clock.advance(2_000)
+  for (const worker of [first, second]) if (worker) worker.isCut = true
+  // A job fills a worker; the next one comes when the first order's time is up.
+  for (const job of ['aaaa', 'bbbb']) {
+    await made.submit('one', job, [{ count: 16 }])
+    await made.clock.advance(700)
+  }
+  const unsettled = new Set(made.nodes.get('one')?.log.of('start unsettled').map(({ worker }) => worker))
+  expect([...unsettled]).toEqual([first?.id])
+  expect(third?.starts.length).toBeGreaterThan(0)
+  expect(made.violations()).toEqual([])
+})
+
 test('only one of several processes that claim at once becomes owner', async () => {
   for (const seed of [1, 2, 3, 4, 5]) {
     const made = await EmulatedFleet.ready(1, ['one', 'two', 'three', 'four', 'five'], seed)
