Give the emulated platform its limits on calls

Change: calls a second for writes, reads, lists and orders; a partition appends one at a time and refuses when two seconds wait. The check for overlapping runs stands with the emulator, for the soak to come.

--- a/stand-ins/emulator/emulated-store.ts
+++ b/stand-ins/emulator/emulated-store.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from '../../src/supervision/clock.js'
 import { Notifier } from '../../src/supervision/notifier.js'
+import { CallRate } from './call-rate.js'
 import { EmulatedGroup } from './emulated-group.js'
 import { EmulatedPartition } from './emulated-partition.js'
 
@@ -12,6 +13,19 @@
 /** Bytes of a page's head. */
 const HEAD_BYTES = 16
 
+/** Calls a second that the store takes from all processes together. */
+const WRITES_PER_SECOND = 800
+const READS_PER_SECOND = 2_000
+
+/** Part of a write that a call to a group counts as. */
+const GROUP_WEIGHT = 0.1
+
+/** Time that an append takes in its partition, which carries them out one at a time, in milliseconds. */
+const APPEND_MILLISECONDS = 4
+
+/** Longest queue of a partition, in milliseconds; appends beyond it are refused. */
+const QUEUE_MILLISECONDS = 2_000
+
 /** Most rows of one page of newest records. */
 const NEWEST_ROWS = 500
 
@@ -21,15 +35,22 @@
   readonly body: Buffer | object
 }
 
-/** Topics, partitions and groups; no limits on calls, which the faults bring instead. */
+/** Topics, partitions and groups, with the store's limits on calls and on the pace of a partition. */
 export class EmulatedStore {
   /** Appends carried out. */
   appends = 0
   private readonly _partitions = new Map<string, EmulatedPartition>()
   private readonly _groups = new Map<string, EmulatedGroup>()
   private readonly _appended = new Notifier()
+  private readonly _writes: CallRate
+  private readonly _reads: CallRate
+  /** Epoch milliseconds until which each partition is busy with appends. */
+  private readonly _busyUntil = new Map<EmulatedPartition, number>()
 
-  constructor (private readonly _clock: Clock) {}
+  constructor (private readonly _clock: Clock) {
+    this._writes = new CallRate(_clock, WRITES_PER_SECOND)
+    this._reads = new CallRate(_clock, READS_PER_SECOND)
+  }
 
   /** A partition, made on first use. */
   partition (topic: string, number = 0): EmulatedPartition {
@@ -57,13 +78,9 @@
   /** Serves a call. */
   async handle (call: string, query: URLSearchParams, body: Buffer): Promise<StoreAnswer> {
     const partition = this.partition(query.get('topic') ?? '', Number(query.get('part') ?? 0))
+    if (!this._isWithinRates(call)) return { status: 429, body: {} }
     switch (call) {
-      case 'log-append': {
-        this.appends += 1
-        const answer = partition.append(this._records(body), query)
-        this._appended.notify()
-        return answer
-      }
+      case 'log-append': return this._append(partition, query, body)
       case 'log-read': return this._read(partition, query)
       case 'log-newest': return this._newest(partition, query)
       case 'log-join': {
@@ -79,6 +96,23 @@
     }
   }
 
+  private _isWithinRates (call: string): boolean {
+    if (call === 'log-read' || call === 'log-newest') return this._reads.take()
+    return this._writes.take(call === 'log-append' ? 1 : GROUP_WEIGHT)
+  }
+
+  private async _append (partition: EmulatedPartition, query: URLSearchParams, body: Buffer): Promise<StoreAnswer> {
+    const now = this._clock.now()
+    const startsAt = Math.max(now, this._busyUntil.get(partition) ?? 0)
+    if (startsAt > now + QUEUE_MILLISECONDS) return { status: 503, body: {} }
+    this._busyUntil.set(partition, startsAt + APPEND_MILLISECONDS)
+    await this._clock.sleepUntil(startsAt + APPEND_MILLISECONDS)
+    this.appends += 1
+    const answer = partition.append(this._records(body), query)
+    this._appended.notify()
+    return answer
+  }
+
   private async _read (partition: EmulatedPartition, query: URLSearchParams): Promise<StoreAnswer> {
     const from = Number(query.get('from'))
     const deadline = this._clock.now() + Number(query.get('wait_ms') ?? 0)
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -2,6 +2,7 @@
  * An emulator of the users' platform: log store, workers, VMs, advice, operators.
  */
 import type { Clock } from '../../src/supervision/clock.js'
+import { CallRate } from './call-rate.js'
 import { EmulatedMachines } from './emulated-machines.js'
 import { EmulatedStore } from './emulated-store.js'
 import { EmulatedWorker } from './emulated-worker.js'
@@ -19,6 +20,12 @@
 const MOVE_MILLISECONDS = 1_500
 const MAINTENANCE_MILLISECONDS = 2_000
 
+/** Lists of VMs and orders to them that the interface takes a second, each, from all processes together. */
+const MACHINE_CALLS_PER_SECOND = 64
+
+/** First two numbers of workers' addresses, unless the emulator is served on a real network. */
+const WORKER_NETWORK = '10.8'
+
 /** Longest lease, in milliseconds. */
 const MAXIMUM_LEASE_MILLISECONDS = 6_000
 
@@ -42,11 +49,22 @@
   readonly lives: EmulatedWorker[] = []
   /** Present lives by address. */
   private readonly _workers = new Map<string, EmulatedWorker>()
+  private readonly _lists: CallRate
+  private readonly _orders: CallRate
   private _count = 0
 
-  /** @param _fate how a task's run goes. */
-  constructor (private readonly _clock: Clock, private readonly _fate: ConstructorParameters<typeof EmulatedWorker>[6]) {
+  /**
+   * @param _fate how a task's run goes.
+   * @param _workerNetwork first two numbers of workers' addresses.
+   * @param _onWorker told of each worker before it registers.
+   */
+  constructor (
+    private readonly _clock: Clock, private readonly _fate: ConstructorParameters<typeof EmulatedWorker>[6],
+    private readonly _workerNetwork = WORKER_NETWORK, private readonly _onWorker: (worker: EmulatedWorker) => void = () => {}
+  ) {
     this.store = new EmulatedStore(_clock)
+    this._lists = new CallRate(_clock, MACHINE_CALLS_PER_SECOND)
+    this._orders = new CallRate(_clock, MACHINE_CALLS_PER_SECOND)
     this.machines = new EmulatedMachines(
       _clock,
       machine => { for (const worker of this._workers.values()) if (worker.machine === machine.id) this.end(worker) },
@@ -113,6 +131,7 @@
       const answer = await this.faults.apply(request.caller, call, url.searchParams.get('topic') ?? '', () => this.store.handle(call, url.searchParams, body), this._clock)
       return answer ? this._answer(answer) : null
     }
+    if (address === MACHINES && !(call === 'machines' ? this._lists : this._orders).take()) return this._answer({ status: 429, body: {} })
     if (address === MACHINES && call === 'machines') return this._answer({ status: 200, body: this.machines.list() })
     if (address === MACHINES && (call === 'machine-move' || call === 'machine-upkeep')) {
       return this._answer(this.machines.order(call, JSON.parse(body.toString()) as { machine: string }, headers['lease-holder'] ?? '', Number(headers['fencing-token'])))
@@ -146,13 +165,14 @@
   private _startWorker (machine: string, pool: string, zone: string): EmulatedWorker {
     this._count += 1
     const worker = new EmulatedWorker(
-      `i-${this._count}`, pool, `10.8.${this._count >> 8}.${this._count & 255}:8080`, zone, machine, this._clock, this._fate, MAXIMUM_LEASE_MILLISECONDS)
+      `i-${this._count}`, pool, `${this._workerNetwork}.${this._count >> 8}.${this._count & 255}:8080`, zone, machine, this._clock, this._fate, MAXIMUM_LEASE_MILLISECONDS)
     this._add(worker)
     return worker
   }
 
   private _add (worker: EmulatedWorker): void {
     this.lives.push(worker)
+    this._onWorker(worker)
     this._workers.set(worker.address, worker)
     this._register(worker)
   }
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -8,6 +8,7 @@
 import { NodeSettings } from '../../src/settings/node-settings.js'
 import { SeededRandomSource } from '../../src/supervision/seeded-random-source.js'
 import { EmulatorDialer } from '../../stand-ins/emulator/emulator-dialer.js'
+import { runViolations } from '../../stand-ins/emulator/run-violations.js'
 import { PlatformEmulator } from '../../stand-ins/emulator/platform-emulator.js'
 import { FakeClock } from './fake-clock.js'
 import { QuietLog } from './quiet-log.js'
@@ -158,21 +159,7 @@
 
   /** What the workers saw that must never be: two runs of a task at once, or a start after an acknowledged end as done. */
   violations (): string[] {
-    const findings: string[] = []
-    // What nobody has asked a worker about has still happened there.
-    for (const worker of this.emulator.lives) worker.settle()
-    const runs = this.emulator.lives.flatMap(worker => worker.starts.map(start => {
-      const end = worker.ends.find(({ task, run }) => task === start.task && run === start.run)
-      return { ...start, endsAt: end?.at ?? Infinity, how: end?.how ?? 'running', acknowledgedAt: end?.acknowledgedAt ?? Infinity }
-    }))
-    for (const left of runs) {
-      for (const right of runs) {
-        if (left === right || left.task !== right.task || left.at > right.at) continue
-        if (left.endsAt > right.at) findings.push(`${left.task}: run ${right.run} began while run ${left.run} was there`)
-        if (left.how === 'done' && left.acknowledgedAt < Infinity) findings.push(`${left.task}: run ${right.run} began after run ${left.run} was done and acknowledged`)
-      }
-    }
-    return findings
+    return runViolations(this.emulator.lives)
   }
 
   private _service (node: string): NodeTree['service'] {
