Add the fault soak: real processes, loopback proxies, signals

What: soak/ starts samphireglade-node as separate processes against the emulator behind loopback proxies, with 19 kinds of faults that overlap, and checks what callers and workers saw.

--- /dev/null
+++ b/soak/faults/herd-kill.ts
@@ -0,0 +1,15 @@
+/**
+ * All processes killed at once.
+ */
+import type { SoakFleet } from '../soak-fleet.js'
+import { SoakFault } from '../soak-fault.js'
+
+/** SIGKILL to every process. */
+export class HerdKill extends SoakFault {
+  override readonly name = 'all processes killed'
+
+  override async begin ({ nodes }: SoakFleet): ReturnType<SoakFault['begin']> {
+    await Promise.all(nodes.map(node => node.kill()))
+    return () => { for (const node of nodes) node.start() }
+  }
+}
--- /dev/null
+++ b/soak/faults/maintenance-wave.ts
@@ -0,0 +1,23 @@
+/**
+ * A maintenance wave.
+ */
+import type { RandomSource } from '../../src/supervision/random-source.js'
+import type { SoakFleet } from '../soak-fleet.js'
+import { SoakFault } from '../soak-fault.js'
+
+/** Share of VMs that are due. */
+const DUE_SHARE = 0.5
+
+/** Half of the VMs, two at once. */
+export class MaintenanceWave extends SoakFault {
+  override readonly name = 'wave'
+  override readonly isPlanned = true
+  private _wave = 0
+
+  override async begin ({ emulator }: SoakFleet, random: RandomSource): ReturnType<SoakFault['begin']> {
+    this._wave += 1
+    const machines = [...emulator.machines.machines.keys()].filter(() => random.next() < DUE_SHARE)
+    emulator.publish(`wave/${this._wave}`, { wave: this._wave, machines, duration_s: 60, max_count: 2 })
+    return () => {}
+  }
+}
--- /dev/null
+++ b/soak/faults/process-kill.ts
@@ -0,0 +1,17 @@
+/**
+ * A process that is killed.
+ */
+import type { RandomSource } from '../../src/supervision/random-source.js'
+import type { SoakFleet } from '../soak-fleet.js'
+import { SoakFault } from '../soak-fault.js'
+
+/** SIGKILL, and a new life after the fault. */
+export class ProcessKill extends SoakFault {
+  override readonly name = 'process killed'
+
+  override async begin ({ nodes }: SoakFleet, random: RandomSource): ReturnType<SoakFault['begin']> {
+    const node = this.pick(nodes, random)
+    await node.kill()
+    return () => node.start()
+  }
+}
--- /dev/null
+++ b/soak/faults/process-pause.ts
@@ -0,0 +1,17 @@
+/**
+ * A process that stands still.
+ */
+import type { RandomSource } from '../../src/supervision/random-source.js'
+import type { SoakFleet } from '../soak-fleet.js'
+import { SoakFault } from '../soak-fault.js'
+
+/** SIGSTOP, and SIGCONT at the end. */
+export class ProcessPause extends SoakFault {
+  override readonly name = 'process paused'
+
+  override async begin ({ nodes }: SoakFleet, random: RandomSource): ReturnType<SoakFault['begin']> {
+    const node = this.pick(nodes, random)
+    node.signal('SIGSTOP')
+    return () => node.signal('SIGCONT')
+  }
+}
--- /dev/null
+++ b/soak/faults/settings-reload.ts
@@ -0,0 +1,16 @@
+/**
+ * A change of settings.
+ */
+import type { SoakFleet } from '../soak-fleet.js'
+import { SoakFault } from '../soak-fault.js'
+
+/** SIGHUP to every process. */
+export class SettingsReload extends SoakFault {
+  override readonly name = 'settings read again'
+  override readonly isPlanned = true
+
+  override async begin ({ nodes }: SoakFleet): ReturnType<SoakFault['begin']> {
+    for (const node of nodes) node.signal('SIGHUP')
+    return () => {}
+  }
+}
--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -31,6 +31,10 @@
   isDraining = false
   /** Whether nothing reaches it and nothing leaves it. */
   isCut = false
+  /** Whether this life is over. */
+  isDead = false
+  /** Pace of its clock against the true one. */
+  clockRate = 1
   /** All starts, for the checker. */
   readonly starts: { task: string, run: number, at: number }[] = []
   /** All ends, with the moment at which they were acknowledged. */
@@ -52,7 +56,7 @@
 
   /** Its clock. */
   get clock (): number {
-    return CLOCK_START_MILLISECONDS + this._clock.now() - this.born
+    return CLOCK_START_MILLISECONDS + (this._clock.now() - this.born) * this.clockRate
   }
 
   /** Tasks that run now. */
@@ -66,6 +70,7 @@
     this.settle()
     for (const { task, run } of this._runs.values()) this.ends.push({ task, run, how: 'killed', at: this._clock.now(), acknowledgedAt: Infinity })
     this._runs.clear()
+    this.isDead = true
   }
 
   /** Carries an order out; status and body of the answer. */
@@ -129,7 +134,7 @@
   }
 
   private _leaseEnd (): number {
-    return this._clock.now() + Math.max(0, this._deadline - this.clock)
+    return this._clock.now() + Math.max(0, this._deadline - this.clock) / this.clockRate
   }
 
   private _extend (deadline: number): void {
@@ -139,7 +144,7 @@
   /** Lets what is due happen. */
   settle (): void {
     const now = this._clock.now()
-    const lapsedAt = now - Math.max(0, this.clock - this._deadline)
+    const lapsedAt = now - Math.max(0, this.clock - this._deadline) / this.clockRate
     for (const { task, endsAt, how } of [...this._runs.values()]) {
       if (endsAt <= Math.min(now, lapsedAt)) this._end(task, how, endsAt)
       else if (this.clock >= this._deadline) this._end(task, 'lapsed', lapsedAt)
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -114,6 +114,11 @@
     this._clock.sleepUntil(this._clock.now() + ENTRY_LIFETIME_MILLISECONDS).then(() => this.store.put('keyed.servers', worker.id, null)).catch(() => {})
   }
 
+  /** Whether a worker is still the one that its VM is. */
+  isPresent ({ id, machine }: EmulatedWorker): boolean {
+    return this.machines.machines.get(machine)?.worker === id
+  }
+
   /** The same worker in a new life. */
   revive (worker: EmulatedWorker): EmulatedWorker {
     const next = new EmulatedWorker(worker.id, worker.pool, worker.address, worker.zone, worker.machine, this._clock, this._fate, MAXIMUM_LEASE_MILLISECONDS)
