Leave the owner's work to VMs that have room for it

Change: the settings tell the VM's size; a process on a small one pauses for up to 0.9 s more before it claims.

Ruled out: an election by the store's groups (docs/PLATFORM.md); handing ownership over from a small VM later, which costs a recovery.

--- a/src/main/node-tree.ts
+++ b/src/main/node-tree.ts
@@ -11,6 +11,7 @@
 import { MetricsServerTask } from '../observability/metrics-server-task.js'
 import type { Metrics } from '../observability/metrics.js'
 import type { PrometheusMetrics } from '../observability/prometheus-metrics.js'
+import { ownerUnfitness } from '../ownership/owner-unfitness.js'
 import { OwnershipTask } from '../ownership/ownership-task.js'
 import { TermTask } from '../ownership/term-task.js'
 import type { CallClient } from '../platform/call-client.js'
@@ -124,7 +125,7 @@
     const terms = this._supervisor('terms')
     const owners = this._owners()
     const createTerm = (): Task => new TermTask(this._holder, this._journal, follower, owners, clock, random, log)
-    return [terms, new OwnershipTask(this._holder, follower, terms, createTerm, clock, random, log)]
+    return [terms, new OwnershipTask(this._holder, follower, terms, createTerm, ownerUnfitness(this._settings.machine), clock, random, log)]
   }
 
   private _owners (): OwnerTree {
--- a/src/ownership/ownership-task.ts
+++ b/src/ownership/ownership-task.ts
@@ -29,13 +29,16 @@
 /** Drawn part of the pause, in milliseconds, so that equals don't claim at once. */
 const DRAWN_PAUSE_MILLISECONDS = 150
 
+/** Longest pause of a process whose VM is unfit for the owner's work, in milliseconds: longer than all others together. */
+const UNFITNESS_PAUSE_MILLISECONDS = 900
+
 /** Least time between two terms of one process, in milliseconds, so that two that depose each other don't take turns. */
 const TERM_PAUSE_MILLISECONDS = 1_000
 
 /**
  * Ownership stays where it is until its holder releases it or falls silent, because each change costs a
- * recovery. The youngest process claims first: a rolling restart, which stops one after the other,
- * comes to it last.
+ * recovery. Processes on VMs with room for the owner's work claim before those on small ones, and the youngest first: a
+ * rolling restart, which stops one after the other, comes to it last.
  */
 export class OwnershipTask extends Task {
   override readonly name = 'ownership'
@@ -49,9 +52,10 @@
    * @param _holder name of this process's life.
    * @param _terms supervisor of the term, if there is one.
    * @param _createTerm a term to claim and live through.
+   * @param _unfitness how unfit the VM is for the owner's work, from 0 to 1.
    */
   constructor (
-    private readonly _holder: string, private readonly _follower: JournalFollowerTask, private readonly _terms: Supervisor, private readonly _createTerm: () => Task,
+    private readonly _holder: string, private readonly _follower: JournalFollowerTask, private readonly _terms: Supervisor, private readonly _createTerm: () => Task, private readonly _unfitness: number,
     private readonly _clock: Clock, private readonly _random: RandomSource, private readonly _log: DecisionLog
   ) {
     super()
@@ -99,6 +103,6 @@
   private _pause (now: number, cause: string): number {
     // Only a stop in good order says that there may be more of them.
     const seniority = cause !== 'released' ? 0 : Math.min(1, (now - this._startedAt) / SENIORITY_MILLISECONDS)
-    return seniority * SENIORITY_PAUSE_MILLISECONDS + this._random.next() * DRAWN_PAUSE_MILLISECONDS
+    return this._unfitness * UNFITNESS_PAUSE_MILLISECONDS + seniority * SENIORITY_PAUSE_MILLISECONDS + this._random.next() * DRAWN_PAUSE_MILLISECONDS
   }
 }
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -7,6 +7,9 @@
 /** IP number and port. */
 const Address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be an IPv4 number and a port')
 
+/** A measure of the VM; empty or 0 if the platform doesn't tell. */
+const Size = z.coerce.number().min(0).default(0)
+
 /** What `deploy/node-settings.toml` is filled in to. */
 export const NodeSettings = z.object({
   process: z.object({
@@ -30,6 +33,12 @@
     /** The advice service; empty if there is none. */
     advice: z.union([z.literal(''), Address])
   }),
+  /** Size of the VM; small ones leave the owner's work to others. */
+  machine: z.object({
+    processorShare: Size,
+    processorSpeed: Size,
+    linkMegabitsPerSecond: Size
+  }).prefault({}),
   bounds: LeaseSettings,
   traces: z.object({
     /** OTLP/HTTP collector; without it there are no spans. */
--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -56,6 +56,21 @@
   expect(made.violations()).toEqual([])
 })
 
+test('a process on a small VM owns the journal only if there is none on a larger one', async () => {
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+    const made = new EmulatedFleet(seed)
+    made.emulator.addMachine('work', 'a')
+    made.configure()
+    for (const name of ['small-1', 'small-2', 'small-3']) made.start(name, { processorShare: 0.324, linkMegabitsPerSecond: 10 })
+    made.start('large', { processorShare: 0.675, linkMegabitsPerSecond: 200 })
+    await made.clock.advance(3_000)
+    expect(made.owner()).toBe('large')
+    made.kill('large')
+    await made.clock.advance(5_000)
+    expect(made.owner()).toMatch('small')
+  }
+})
+
 test('a worker that leaves an order unanswered keeps new work away from its rack until it is heard from', async () => {
   const made = new EmulatedFleet(1)
   const first = made.emulator.addMachine('work', 'a', 'r1')
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -93,13 +93,14 @@
     })
   }
 
-  /** Starts a process. */
-  start (name: string): Node {
+  /** Starts a process on a VM of some size. */
+  start (name: string, machine: { processorShare?: number, linkMegabitsPerSecond?: number } = {}): Node {
     const { store, machines, advice } = this.emulator.addresses
     const settings = NodeSettings.parse({
       process: { id: name, availabilityZone: 'a' },
       listen: { callers: '127.0.0.1:1', readiness: '127.0.0.1:2', metrics: '127.0.0.1:3' },
       platform: { store, machines, advice },
+      machine,
       bounds: {
         maximumLeaseMilliseconds: 6_000, statusRetentionMilliseconds: 120_000, holderChangeMilliseconds: 3_000, moveMilliseconds: 1_500, maintenanceMilliseconds: 2_000
       }
