Keep submissions and the owner's decisions in topics of their own

A partition carries its appends out one at a time; while the store is slow it takes five a second. The submissions of 40 processes and all claims, renewals and decisions queued in one partition: 241 claims failed, 180 of them with 503 because more than two seconds waited.

Change: submissions and cancellations go to a topic that any process writes, decisions to one that only the owner writes. The two have no common order, so that a cancellation shows once the owner has decided on it, decisions on unknown jobs wait for their submission, a new owner reads the submissions to their end before it begins, a submission is dropped after its outcome is written and again before the outcome is, and absence of a job needs both topics.

Ruled out: more partitions by process or job (more long polls on 40 processes; to be weighed when submissions themselves are the bound); passing submissions to the owner, who would have to be known.

Also: a process that hasn't read both topics says that it can't tell; before, one that had read the submissions only could have called a finished job queued. New tests: slow submissions don't cost the term, late copies after retirement, processes that lag in one topic, cancellations that meet the last end.

--- a/soak/faults/forgotten-history.ts
+++ b/soak/faults/forgotten-history.ts
@@ -9,7 +9,7 @@
   override readonly name = 'history forgotten'
 
   override async begin ({ emulator: { store } }: SoakFleet): ReturnType<SoakFault['begin']> {
-    for (const topic of ['keyed.jobs', 'keyed.op', 'keyed.servers']) store.partition(topic).compact()
+    for (const topic of ['keyed.jobs', 'keyed.decisions', 'keyed.op', 'keyed.servers']) store.partition(topic).compact()
     return () => {}
   }
 }
--- a/src/jobs/job-book.ts
+++ b/src/jobs/job-book.ts
@@ -29,7 +29,9 @@
   private readonly _jobs = new Map<string, JobView>()
   private readonly _outcomes = new Map<string, JobState>()
   private readonly _unstarted = new Map<string, Set<string>>()
-  private readonly _earlyCancellations = new Map<string, number>()
+  private readonly _earlyCancellations = new Set<string>()
+  /** Decisions on jobs whose submission hasn't been read yet, since the two come by different ways. */
+  private readonly _earlyDecisions = new Map<string, Array<() => void>>()
   private readonly _waves = new Map<number, WaveProgress>()
   private readonly _orders = new Map<string, { readonly term: number, readonly at: number }>()
   private _ownerRecords = 0
@@ -82,11 +84,13 @@
 
   /** Takes one record in. */
   apply (record: JournalRecord, offset: number): void {
-    if (record.kind !== 'submission' && record.kind !== 'cancellation') this._ownerRecords += 1
+    if (record.kind !== 'submission' && record.kind !== 'cancellation' && record.kind !== 'disposal') this._ownerRecords += 1
     switch (record.kind) {
       case 'submission': return this._submit(record.submission)
-      case 'cancellation': return this._cancel(record.job, offset)
-      case 'progress': return this._progress(record, offset)
+      case 'cancellation': return this._requestCancellation(record.job)
+      case 'disposal': return
+      case 'verdict': return this._decide(record.job, job => job.cancel(offset))
+      case 'progress': return this._decide(record.job, job => job.progress(record.occurrence, record.step, record.tasks, offset))
       case 'outcome':
         this._forget(record.job)
         this._outcomes.set(record.job, record.state)
@@ -109,36 +113,41 @@
     if (this._jobs.has(submission.id) || this._outcomes.has(submission.id)) return
     const job = new JobView(submission)
     this._jobs.set(submission.id, job)
-    const cancelledAt = this._earlyCancellations.get(submission.id)
-    if (cancelledAt !== undefined) job.cancel(cancelledAt)
-    this._earlyCancellations.delete(submission.id)
+    if (this._earlyCancellations.delete(submission.id)) job.requestCancellation()
+    for (const decide of this._earlyDecisions.get(submission.id) ?? []) decide()
+    this._earlyDecisions.delete(submission.id)
     this._noteStart(job)
     this.observer?.jobSubmitted(job)
   }
 
   /** A cancellation may overtake its submission at another entry process. */
-  private _cancel (id: string, offset: number): void {
+  private _requestCancellation (id: string): void {
     if (this._outcomes.has(id)) return
     const job = this._jobs.get(id)
     if (!job) {
-      if (this._earlyCancellations.size < MAXIMUM_EARLY_CANCELLATIONS) this._earlyCancellations.set(id, offset)
+      if (this._earlyCancellations.size < MAXIMUM_EARLY_CANCELLATIONS) this._earlyCancellations.add(id)
       return
     }
-    const wasCancelled = job.isCancelled
-    job.cancel(offset)
-    this._noteStart(job)
-    if (!wasCancelled && job.isCancelled) this.observer?.jobCancelled(job)
+    if (job.isCancelRequested) return
+    job.requestCancellation()
+    this.observer?.jobCancelled(job)
   }
 
-  private _progress ({ job: id, occurrence, step, tasks }: Extract<JournalRecord, { kind: 'progress' }>, offset: number): void {
+  /** Takes a decision in now, or when the submission comes. */
+  private _decide (id: string, take: (job: JobView) => void): void {
+    if (this._outcomes.has(id)) return
     const job = this._jobs.get(id)
-    if (!job) return
-    job.progress(occurrence, step, tasks, offset)
+    if (!job) {
+      this._earlyDecisions.set(id, [...this._earlyDecisions.get(id) ?? [], () => this._decide(id, take)])
+      return
+    }
+    take(job)
     this._noteStart(job)
   }
 
   private _forget (id: string): void {
     this._earlyCancellations.delete(id)
+    this._earlyDecisions.delete(id)
     const job = this._jobs.get(id)
     if (!job) return
     this._unstarted.get(job.submission.queue)?.delete(id)
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -28,7 +28,7 @@
 /** Who may do what is decided here; other front ends use the same service. */
 export class JobService {
   constructor (
-    private readonly _configuration: ConfigurationTask, private readonly _journal: JobJournal, private readonly _follower: JournalFollowerTask, private readonly _writer: SubmissionWriterTask,
+    private readonly _configuration: ConfigurationTask, private readonly _submitted: JobJournal, private readonly _submissions: JournalFollowerTask, private readonly _decisions: JournalFollowerTask, private readonly _writer: SubmissionWriterTask,
     private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {}
 
@@ -36,7 +36,7 @@
   async submit (call: JobCall, id: string, job: SubmittedJob): Promise<JobAnswer> {
     const queue = this._admit(call)
     if ('kind' in queue) return this._told('submit', id, queue)
-    if (this._follower.book.state(id)) return this._told('submit', id, { kind: 'accepted' })
+    if (this._book.state(id)) return this._told('submit', id, { kind: 'accepted' })
     if (!this._isViewCurrent) return this._told('submit', id, this._later('not-run'))
     const team = this._configuration.teamOfKey(call.key)?.name ?? ''
     const submission = { ...job, id, queue: queue.name, team, submittedAt: this._clock.now() }
@@ -49,7 +49,7 @@
   async state (call: JobCall, id: string): Promise<JobAnswer> {
     const queue = this._admit(call)
     if ('kind' in queue) return this._told('state', id, queue)
-    const state = this._follower.book.state(id)
+    const state = this._isLoaded ? this._book.state(id) : null
     if (state) return { kind: 'state', state }
     const found = await this._lookUp(id)
     if (found === 'unsure') return this._told('state', id, this._later('unsure'))
@@ -60,7 +60,7 @@
   async cancel (call: JobCall, id: string): Promise<JobAnswer> {
     const queue = this._admit(call)
     if ('kind' in queue) return this._told('cancel', id, queue)
-    const state = this._follower.book.state(id)
+    const state = this._isLoaded ? this._book.state(id) : null
     if (state && state !== 'queued' && state !== 'running') return this._told('cancel', id, { kind: 'cancelled' })
     const found = state ? 'there' : await this._lookUp(id)
     if (found === 'unsure') return this._told('cancel', id, this._later('unsure'))
@@ -73,7 +73,7 @@
   pending (call: JobCall): JobAnswer {
     const queue = this._admit(call)
     if ('kind' in queue) return this._told('pending', call.path, queue)
-    return { kind: 'pending', count: this._follower.book.pending(queue.name) }
+    return { kind: 'pending', count: this._book.pending(queue.name) }
   }
 
   private get _isViewCurrent (): boolean {
@@ -91,18 +91,37 @@
 
   /** Looks for a submission that this process has not read yet. */
   private async _lookUp (id: string): Promise<'there' | 'missing' | 'unsure'> {
-    if (!this._follower.isLoaded) return 'unsure'
-    const deadline = this._clock.now() + LOOKUP_TIMEOUT_MILLISECONDS
-    for (let offset = this._follower.next; ;) {
-      const read = await this._journal.read(offset, this._clock.now(), new AbortController().signal)
+    if (!this._isLoaded) return 'unsure'
+    const startedAt = this._clock.now()
+    const deadline = startedAt + LOOKUP_TIMEOUT_MILLISECONDS
+    for (let offset = this._submissions.next; ;) {
+      const read = await this._submitted.read(offset, this._clock.now(), new AbortController().signal)
       if (read.isLeft() || this._clock.now() > deadline) return 'unsure'
       const { changes, next, end } = read.unsafeCoerce()
-      if (this._follower.book.state(id) || changes.some(({ value }) => value.kind === 'submission' && value.submission.id === id)) return 'there'
-      if (next >= end) return 'missing'
+      if (this._book.state(id) || changes.some(({ value }) => value.kind === 'submission' && value.submission.id === id)) return 'there'
+      if (next >= end) return this._hasOutcome(id, startedAt, deadline)
       offset = next
     }
   }
 
+  /** Whether a job that isn't among the submissions is over: its submission is dropped once its outcome is written. */
+  private async _hasOutcome (id: string, asOf: number, deadline: number): Promise<'there' | 'missing' | 'unsure'> {
+    while (this._decisions.freshAt < asOf) {
+      if (this._clock.now() > deadline) return 'unsure'
+      await this._decisions.changed.wait(this._clock, deadline)
+    }
+    return this._book.state(id) ? 'there' : 'missing'
+  }
+
+  /** Whether both topics have been read: from one alone a job that is over looks like one that waits, or like none. */
+  private get _isLoaded (): boolean {
+    return this._submissions.isLoaded && this._decisions.isLoaded
+  }
+
+  private get _book (): JournalFollowerTask['book'] {
+    return this._submissions.book
+  }
+
   private _written (result: 'written' | 'not-written' | 'unknown', answer: JobAnswer): JobAnswer {
     if (result === 'written') return answer
     return result === 'unknown' ? { kind: 'unknown' } : this._later('not-run')
@@ -114,7 +133,7 @@
 
   private _told (call: string, job: string, answer: JobAnswer): JobAnswer {
     this._metrics.count('jobs.calls', 1, `${call}:${answer.kind}`)
-    this._log.note('job call', { call, job, outcome: answer.kind, configuration: this._configuration.version, viewAt: Math.round(this._configuration.freshAt), journal: this._follower.next })
+    this._log.note('job call', { call, job, outcome: answer.kind, configuration: this._configuration.version, viewAt: Math.round(this._configuration.freshAt), submissions: this._submissions.next, decisions: this._decisions.next })
     return answer
   }
 }
--- a/src/jobs/job-view.ts
+++ b/src/jobs/job-view.ts
@@ -19,11 +19,16 @@
 export class JobView {
   private readonly _steps = new Map<string, StepView>()
   private _cancelledAt = Infinity
+  private _isCancelRequested = false
 
-  /** @param offset of the submission's record. */
   constructor (readonly submission: JobSubmission) {}
 
-  /** Whether a cancellation is recorded. */
+  /** Whether somebody asked for the job's cancellation. It may have been complete before. */
+  get isCancelRequested (): boolean {
+    return this._isCancelRequested
+  }
+
+  /** Whether the owner has decided that the job is cancelled. */
   get isCancelled (): boolean {
     return this._cancelledAt < this._completedAt()
   }
@@ -42,7 +47,12 @@
     return this._steps.get(`${occurrence}.${step}`)?.tasks ?? null
   }
 
-  /** Notes a cancellation; a job that was complete before it stays completed. */
+  /** Notes that a cancellation was asked for; the owner decides on it. */
+  requestCancellation (): void {
+    this._isCancelRequested = true
+  }
+
+  /** Notes the owner's decision; a job that was complete before it stays completed. */
   cancel (offset: number): void {
     this._cancelledAt = Math.min(this._cancelledAt, offset)
   }
--- a/src/jobs/journal-follower-task.ts
+++ b/src/jobs/journal-follower-task.ts
@@ -15,12 +15,15 @@
 /** Longest wait of one read, in milliseconds: the owner's silence has to be noticed soon. */
 const WAIT_MILLISECONDS = 500
 
-/** Follows the journal in every process. */
+/** Follows one topic of the journal, submissions or decisions, in every process. */
 export class JournalFollowerTask extends FeedFollowerTask<JournalRecord> {
-  override readonly name = 'journal'
   private _ownerHeardAt = 0
 
-  constructor (readonly book: JobBook, ...rest: ConstructorParameters<typeof FeedFollowerTask<JournalRecord>>) {
+  /**
+   * @param name of the topic, for logs.
+   * @param book that both topics are folded into.
+   */
+  constructor (override readonly name: 'decisions' | 'submissions', readonly book: JobBook, ...rest: ConstructorParameters<typeof FeedFollowerTask<JournalRecord>>) {
     super(...rest)
   }
 
--- a/src/main/node-tree.ts
+++ b/src/main/node-tree.ts
@@ -39,8 +39,11 @@
 /** Part of a holder's name that is drawn, so that each life of a process is another holder. */
 const HOLDER_VARIETY = 2 ** 20
 
-/** Topic of the job journal. */
-const JOURNAL_TOPIC = 'keyed.jobs'
+/** Topic that any process writes submissions and cancellations to. Apart from the decisions, so that no load on it delays an owner. */
+const SUBMISSION_TOPIC = 'keyed.jobs'
+
+/** Topic of the owner's decisions. */
+const DECISION_TOPIC = 'keyed.decisions'
 
 /** Topic of what operators publish. */
 const OPERATOR_TOPIC = 'keyed.op'
@@ -54,14 +57,16 @@
 /** The construction module of the node daemon; `OwnerTree` is its part for the owner. */
 export class NodeTree {
   readonly configuration: ConfigurationTask
-  readonly follower: JournalFollowerTask
+  readonly decisions: JournalFollowerTask
+  readonly submissions: JournalFollowerTask
   /** What front ends call. */
   readonly service: JobService
   private readonly _observer: DecisionLogObserver
   private readonly _holder: string
   private _stopRequestedAt = Infinity
   private readonly _store: CallClient
-  private readonly _journal: TopicJournal
+  private readonly _decided: TopicJournal
+  private readonly _submitted: TopicJournal
   private readonly _writer: SubmissionWriterTask
 
   constructor (
@@ -71,17 +76,20 @@
     this._holder = `${_settings.process.id}-${Math.round(_clock.now())}-${_random.integer(HOLDER_VARIETY)}`
     this._observer = new DecisionLogObserver(_log, _metrics)
     this._store = _dialer.dial(_settings.platform.store, STORE_CONNECTIONS)
-    this._journal = new TopicJournal(new KeyedTopic(this._store, JOURNAL_TOPIC, _clock))
+    this._decided = new TopicJournal(new KeyedTopic(this._store, DECISION_TOPIC, _clock))
+    this._submitted = new TopicJournal(new KeyedTopic(this._store, SUBMISSION_TOPIC, _clock))
     const operators = new TopicFeed(new KeyedTopic(this._store, OPERATOR_TOPIC, _clock), record => OperatorCodec.decode(record))
     this.configuration = new ConfigurationTask(operators, _clock, _random, _metrics, _log)
-    this.follower = new JournalFollowerTask(new JobBook(), this._journal, _clock, _random, _metrics, _log)
-    this._writer = new SubmissionWriterTask(this._journal, _clock, _random, _metrics)
-    this.service = new JobService(this.configuration, this._journal, this.follower, this._writer, _clock, _metrics, _log)
+    const book = new JobBook()
+    this.decisions = new JournalFollowerTask('decisions', book, this._decided, _clock, _random, _metrics, _log)
+    this.submissions = new JournalFollowerTask('submissions', book, this._submitted, _clock, _random, _metrics, _log)
+    this._writer = new SubmissionWriterTask(this._submitted, _clock, _random, _metrics)
+    this.service = new JobService(this.configuration, this._submitted, this.submissions, this.decisions, this._writer, _clock, _metrics, _log)
   }
 
   /** Whether the process can serve: it has a configuration and hears from the store. */
   get isReady (): boolean {
-    const oldest = Math.min(this.configuration.freshAt, this.follower.freshAt)
+    const oldest = Math.min(this.configuration.freshAt, this.decisions.freshAt, this.submissions.freshAt)
     return this._stopRequestedAt === Infinity && this.configuration.configuration !== null && oldest > this._clock.now() - READY_VIEW_AGE_MILLISECONDS
   }
 
@@ -116,16 +124,16 @@
 
   /** What every process knows, and how it writes. */
   private _views (): Task[] {
-    return [this.configuration, this.follower, this._writer]
+    return [this.configuration, this.decisions, this.submissions, this._writer]
   }
 
   /** The process's part in owning the journal. */
   private _ownership (): Task[] {
-    const { _clock: clock, _random: random, _log: log, follower } = this
+    const { _clock: clock, _random: random, _log: log, decisions, submissions } = this
     const terms = this._supervisor('terms')
     const owners = this._owners()
-    const createTerm = (): Task => new TermTask(this._holder, this._journal, follower, owners, clock, random, log)
-    return [terms, new OwnershipTask(this._holder, follower, terms, createTerm, ownerUnfitness(this._settings.machine), clock, random, log)]
+    const createTerm = (): Task => new TermTask(this._holder, this._decided, decisions, this._submitted, submissions, owners, clock, random, log)
+    return [terms, new OwnershipTask(this._holder, decisions, terms, createTerm, ownerUnfitness(this._settings.machine), clock, random, log)]
   }
 
   private _owners (): OwnerTree {
@@ -133,7 +141,7 @@
     const machines = platform.machines === '' ? null : new HttpMachineControl(dialer.dial(platform.machines, MACHINE_CONNECTIONS), process.id)
     const advisor = platform.advice === '' ? null : new HttpAdvisor(dialer.dial(platform.advice, 1))
     return new OwnerTree(
-      () => this._settings, this._holder, dialer, this._store, machines, advisor, this._journal, this.follower, this.configuration, this._observer, this._clock, this._random, this._metrics, this._log
+      () => this._settings, this._holder, dialer, this._store, machines, advisor, this._decided, this.decisions, this.submissions, this._writer, this.configuration, this._observer, this._clock, this._random, this._metrics, this._log
     )
   }
 
--- a/src/main/owner-tree.ts
+++ b/src/main/owner-tree.ts
@@ -13,6 +13,7 @@
 import type { ConfigurationTask } from '../configuration/configuration-task.js'
 import type { JobJournal } from '../jobs/job-journal.js'
 import type { JournalFollowerTask } from '../jobs/journal-follower-task.js'
+import type { SubmissionWriterTask } from '../jobs/submission-writer-task.js'
 import type { DecisionLog } from '../observability/decision-log.js'
 import type { Metrics } from '../observability/metrics.js'
 import { OwnerFactory } from '../ownership/owner-factory.js'
@@ -72,7 +73,7 @@
 /** The construction module's part for the owner. */
 export class OwnerTree extends OwnerFactory {
   constructor (
-    private readonly _settings: () => NodeSettings, private readonly _holder: string, private readonly _dialer: Dialer, private readonly _store: CallClient, private readonly _machines: MachineControl | null, private readonly _advisor: Advisor | null, private readonly _journal: JobJournal, private readonly _follower: JournalFollowerTask,
+    private readonly _settings: () => NodeSettings, private readonly _holder: string, private readonly _dialer: Dialer, private readonly _store: CallClient, private readonly _machines: MachineControl | null, private readonly _advisor: Advisor | null, private readonly _decided: JobJournal, private readonly _decisions: JournalFollowerTask, private readonly _submissions: JournalFollowerTask, private readonly _submissionWriter: SubmissionWriterTask,
     private readonly _configuration: ConfigurationTask, private readonly _observer: SupervisorObserver,
     private readonly _clock: Clock, private readonly _random: RandomSource, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
@@ -80,12 +81,12 @@
   }
 
   override create (term: number, claim: TermClaim, onLost: (cause: string) => void): Supervisor {
-    const { _clock: clock, _random: random, _metrics: metrics, _log: log, _configuration: configuration, _follower: follower } = this
+    const { _clock: clock, _random: random, _metrics: metrics, _log: log, _configuration: configuration, _decisions: { book } } = this
     const { bounds } = this._settings()
     const lease = { milliseconds: Math.min(LEASE_MILLISECONDS, bounds.maximumLeaseMilliseconds * LEASE_SHARE), extensionMilliseconds: EXTENSION_MILLISECONDS }
     const holds = this._supervisor('holds')
     const orders = this._supervisor('orders')
-    const writer = new DecisionWriterTask(this._journal, follower.book, term, claim.sentAt, this._holder, onLost, clock, random, metrics)
+    const writer = new DecisionWriterTask(this._decided, book, term, claim.sentAt, this._holder, onLost, clock, random, metrics)
     const runOrders: SupervisedRunOrders = new SupervisedRunOrders(
       orders,
       (task, worker) => new StartRunTask(task, worker, advice, schedule, runOrders, onLost, clock, metrics),
@@ -103,25 +104,30 @@
       worker => new WorkerHoldTask(worker, schedule, roster, reader, writer, lease, onLost, clock, random, metrics, log),
       workers, clock, random, metrics, log
     )
-    const viewAt = (): number => Math.min(follower.freshAt, configuration.freshAt)
+    const viewAt = (): number => this._viewAt()
     const placement = new PlacementTask(schedule, jobs, roster, room, new UrgencyPlacement(configuration, room.usage), advice, configuration, viewAt, clock, metrics, log)
-    const adoption = new AdoptionTask(follower.book, directory, schedule, placement, clock)
+    const adoption = new AdoptionTask(book, directory, schedule, placement, clock)
 
     const owner = this._supervisor('owner')
     // The last child stops first: placement, then the writer, whose last decisions still become orders.
-    for (const child of [orders, writer, holds, directory, advice, adoption, new OutcomeTask(follower.book, jobs, writer, bounds.statusRetentionMilliseconds, clock), new VacatingTask(schedule, roster, clock), new PaceTask(roster, clock, random, metrics, log)]) owner.add(child)
+    for (const child of [orders, writer, holds, directory, advice, adoption, new OutcomeTask(book, jobs, writer, this._submissionWriter, bounds.statusRetentionMilliseconds, clock), new VacatingTask(schedule, roster, clock), new PaceTask(roster, clock, random, metrics, log)]) owner.add(child)
     if (this._machines) for (const child of this._capacity(this._machines, jobs, roster, writer, adoption, bounds, term, onLost)) owner.add(child)
     return owner
   }
 
+  /** Moment (epoch milliseconds) as of which decisions, submissions and the operators' wishes are known. */
+  private _viewAt (): number {
+    return Math.min(this._decisions.freshAt, this._submissions.freshAt, this._configuration.freshAt)
+  }
+
   /** Tasks that order VMs about. */
   private _capacity (control: MachineControl, jobs: JobRegister, roster: WorkerRoster, writer: DecisionWriterTask, adoption: AdoptionTask, bounds: LeaseSettings, term: number, onLost: (cause: string) => void): Task[] {
-    const { _clock: clock, _log: log, _configuration: configuration, _follower: { book } } = this
+    const { _clock: clock, _log: log, _configuration: configuration, _decisions: { book } } = this
     const inventory = new InventoryTask(control, clock, log)
     const reservations = new MachineReservations(book, writer, term, bounds.holderChangeMilliseconds, clock)
     const board = new StatusWaveBoard(new KeyedTopic(this._store, STATUS_TOPIC, clock))
     const isAdopted = (): boolean => adoption.isDone
-    const isViewCurrent = (): boolean => isAdopted() && Math.min(this._follower.freshAt, configuration.freshAt) > clock.now() - MAXIMUM_VIEW_AGE_MILLISECONDS
+    const isViewCurrent = (): boolean => isAdopted() && this._viewAt() > clock.now() - MAXIMUM_VIEW_AGE_MILLISECONDS
     return [
       inventory,
       new PoolSizingTask(
@@ -132,7 +138,7 @@
   }
 
   override ended (): void {
-    this._follower.book.observer = null
+    this._decisions.book.observer = null
   }
 
   private _supervisor (name: string): Supervisor {
--- a/src/ownership/term-task.ts
+++ b/src/ownership/term-task.ts
@@ -30,7 +30,8 @@
   private readonly _backoff: Backoff
 
   constructor (
-    private readonly _holder: string, private readonly _journal: JobJournal, private readonly _follower: JournalFollowerTask, private readonly _owners: OwnerFactory,
+    private readonly _holder: string, private readonly _journal: JobJournal, private readonly _follower: JournalFollowerTask,
+    private readonly _submitted: JobJournal, private readonly _submissions: JournalFollowerTask, private readonly _owners: OwnerFactory,
     private readonly _clock: Clock, private readonly _random: RandomSource, private readonly _log: DecisionLog
   ) {
     super()
@@ -48,9 +49,25 @@
       this._log.note('claim overtaken', { term, by: this._follower.book.term.number, holder: this._follower.book.term.holder })
       return
     }
+    if (!await this._catchUpOnSubmissions(signal)) return
     await this._own(term, claim, signal)
   }
 
+  /** Reads all submissions up to now: what an earlier owner has decided on was among them. False if `signal` is aborted. */
+  private async _catchUpOnSubmissions (signal: AbortSignal): Promise<boolean> {
+    while (!signal.aborted) {
+      const page = await this._submitted.read(this._submissions.next, this._clock.now(), signal)
+      if (page.isLeft()) {
+        await this._backoff.pause(signal)
+        continue
+      }
+      const { end } = page.unsafeCoerce()
+      while (this._submissions.next < end && !signal.aborted) await this._submissions.changed.wait(this._clock, Infinity, signal)
+      return !signal.aborted
+    }
+    return false
+  }
+
   private async _own (term: number, claim: TermClaim, signal: AbortSignal): Promise<void> {
     const lost = new AbortController()
     const stop = (): void => lost.abort()
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -23,13 +23,15 @@
 
 const NOTHING = Buffer.alloc(0)
 
-/** Keys: `job/ID`, `cancel/ID`, `step/ID/OCCURRENCE/STEP`, `over/ID`, `term`, `wave/NUMBER`, `order/VM`. */
+/** Keys of submissions: `job/ID`, `cancel/ID`; of decisions: `verdict/ID`, `step/ID/OCCURRENCE/STEP`, `over/ID`, `term`, `wave/NUMBER`, `order/VM`. */
 export class JournalCodec {
-  /** An outcome also drops the job's other keys. */
+  /** An outcome also drops the other decisions on the job. */
   static encode (record: JournalRecord): KeyedRecord[] {
     switch (record.kind) {
       case 'submission': return [this._json(`job/${record.submission.id}`, record.submission)]
       case 'cancellation': return [this._json(`cancel/${record.job}`, {})]
+      case 'disposal': return [{ key: `job/${record.job}`, value: NOTHING }, { key: `cancel/${record.job}`, value: NOTHING }]
+      case 'verdict': return [this._json(`verdict/${record.job}`, {})]
       case 'progress': return [this._json(`step/${record.job}/${record.occurrence}/${record.step}`, record.tasks.map(task => this._row(task)))]
       case 'term': return [this._json('term', { term: record.term, holder: record.holder, isReleased: record.isReleased, at: record.at })]
       case 'wave': return [this._json(`wave/${record.progress.wave}`, record.progress)]
@@ -42,11 +44,12 @@
   /** Nothing for keys that tell no more than others do, and for what can't be read. */
   static decode ({ key, value }: KeyedRecord): Maybe<JournalRecord> {
     const [kind, id = '', occurrence, step] = key.split('/')
-    // The other keys of a job are dropped with its outcome, which says all.
+    // The other keys of a job are dropped after its outcome, which says all.
     if (value.length === 0) return kind === 'over' ? Just({ kind: 'retirement', job: id }) : Nothing
     switch (kind) {
       case 'job': return parseJson(JobSubmission, value).toMaybe().map(submission => ({ kind: 'submission', submission }))
       case 'over': return parseJson(Outcome, value).toMaybe().map(outcome => ({ kind: 'outcome', job: id, occurrences: 0, steps: 0, ...outcome }))
+      case 'verdict': return Just({ kind: 'verdict', job: id })
       case 'cancel': return Just({ kind: 'cancellation', job: id })
       case 'step': return parseJson(Rows, value).toMaybe().map(rows => ({
         kind: 'progress', job: id, occurrence: Number(occurrence), step: Number(step), tasks: rows.map(row => this._task(row))
@@ -60,7 +63,7 @@
 
   /** A key of its own, because a late copy of the submission may still come after it. */
   private static _outcome ({ job, queue, state, occurrences, steps }: Extract<JournalRecord, { kind: 'outcome' }>): KeyedRecord[] {
-    const keys = [`job/${job}`, `cancel/${job}`]
+    const keys = [`verdict/${job}`]
     for (let occurrence = 0; occurrence < occurrences; occurrence++) {
       for (let step = 0; step < steps; step++) keys.push(`step/${job}/${occurrence}/${step}`)
     }
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -55,13 +55,15 @@
     this._jobs.add(job)
     for (const step of job.steps) for (const task of step.tasks) if (task.phase === 'placed') this._inherit(task)
     if (job.isOver) this._close(job)
+    else if (view.isCancelRequested) this.jobCancelled(view)
     this.touch()
   }
 
   override jobCancelled (view: JobView): void {
     const job = this._jobs.job(view.submission.id)
-    if (!job || job.isCancelled) return
+    if (!job || job.isOver) return
     job.isCancelled = true
+    this._writer.append({ kind: 'verdict', job: job.id })
     this._log.note('job cancelled', { job: job.id })
     this._close(job)
   }
--- a/src/scheduling/outcome-task.ts
+++ b/src/scheduling/outcome-task.ts
@@ -2,6 +2,7 @@
  * Keeps no more than the state of jobs that are over, and that no longer than promised.
  */
 import type { JobBook } from '../jobs/job-book.js'
+import type { SubmissionWriterTask } from '../jobs/submission-writer-task.js'
 import type { Clock } from '../supervision/clock.js'
 import { Task } from '../supervision/task.js'
 import type { DecisionWriterTask } from './decision-writer-task.js'
@@ -10,15 +11,21 @@
 /** Time between two looks, in milliseconds; a finished job's records weigh on every process that starts meanwhile. */
 const INTERVAL_MILLISECONDS = 500
 
+/** Limit on dropping a finished job's submission, in milliseconds; one that isn't dropped now is dropped with the outcome. */
+const DISPOSAL_MILLISECONDS = 5_000
+
 /** Writes outcomes in place of finished jobs' records, and drops them in the end. */
 export class OutcomeTask extends Task {
   override readonly name = 'outcomes'
   /** Epoch milliseconds since which each state is kept, oldest first. */
   private readonly _keptSince = new Map<string, number>()
 
-  /** @param _retentionMilliseconds how long a job's state is kept. */
+  /**
+   * @param _submissions writes to the topic that the job came by.
+   * @param _retentionMilliseconds how long a job's state is kept.
+   */
   constructor (
-    private readonly _book: JobBook, private readonly _jobs: JobRegister, private readonly _writer: DecisionWriterTask,
+    private readonly _book: JobBook, private readonly _jobs: JobRegister, private readonly _writer: DecisionWriterTask, private readonly _submissions: SubmissionWriterTask,
     private readonly _retentionMilliseconds: number, private readonly _clock: Clock
   ) {
     super()
@@ -37,7 +44,7 @@
     for (const { id, view } of this._jobs.takeFinished()) {
       const { state, submission: { queue, occurrences, steps } } = view
       if (state === 'queued' || state === 'running') continue
-      this._writer.append({ kind: 'outcome', job: id, queue, state, occurrences, steps: steps.length })
+      this._writer.append({ kind: 'outcome', job: id, queue, state, occurrences, steps: steps.length }, () => { this._dispose(id).catch(() => {}) })
     }
   }
 
@@ -47,7 +54,16 @@
     for (const [job, since] of this._keptSince) {
       if (since > now - this._retentionMilliseconds) break
       this._keptSince.delete(job)
-      this._writer.append({ kind: 'retirement', job })
+      // A late copy of the submission may have come since; without the outcome it would be a new job.
+      this._dispose(job).then(isDropped => {
+        if (isDropped) this._writer.append({ kind: 'retirement', job })
+        else this._keptSince.set(job, this._clock.now())
+      }).catch(() => {})
     }
   }
+
+  /** Drops the submission of a job whose outcome is written. */
+  private async _dispose (job: string): Promise<boolean> {
+    return await this._submissions.write({ kind: 'disposal', job }, this._clock.now() + DISPOSAL_MILLISECONDS) === 'written'
+  }
 }
--- a/src/scheduling/owned-job.ts
+++ b/src/scheduling/owned-job.ts
@@ -8,6 +8,7 @@
 /** All steps of all occurrences of a job. */
 export class OwnedJob {
   readonly steps: readonly OwnedStep[]
+  /** Whether a cancellation was taken in before the job was over. */
   isCancelled = false
   hasFailed = false
 
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -23,6 +23,8 @@
   latencyMilliseconds = 4
   /** Extra time that reads of a topic's newest records take, in milliseconds, by topic. */
   readonly slowTopics = new Map<string, number>()
+  /** Extra time that appends to a topic take, in milliseconds, by topic. */
+  readonly slowAppends = new Map<string, number>()
   /** Appends to come that are carried out without an answer. */
   lostAnswers = 0
   /** Time that a worker takes over a start, in milliseconds. */
@@ -43,7 +45,8 @@
   async apply (caller: string, call: string, topic: string, serve: () => Promise<StoreAnswer>, clock: Clock): Promise<StoreAnswer | null> {
     if (this.cutCallers.has(caller)) return null
     if (this.refusal !== 0) return { status: this.refusal, body: {} }
-    await clock.sleepUntil(clock.now() + this.latencyMilliseconds + (call === 'log-newest' ? this.slowTopics.get(topic) ?? 0 : 0))
+    const slow = call === 'log-newest' ? this.slowTopics : call === 'log-append' ? this.slowAppends : null
+    await clock.sleepUntil(clock.now() + this.latencyMilliseconds + (slow?.get(topic) ?? 0))
     const answer = await serve()
     if (call === 'log-append' && this.lostAnswers > 0) {
       this.lostAnswers -= 1
--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -236,7 +236,7 @@
   const made = await EmulatedFleet.ready(1, ['one', 'two'])
   await made.submit('one', 'aaaa', [{}])
   await made.clock.advance(3_000)
-  made.emulator.store.partition('keyed.jobs').compact()
+  for (const topic of ['keyed.jobs', 'keyed.decisions']) made.emulator.store.partition(topic).compact()
   made.emulator.store.partition('keyed.op').compact()
   made.emulator.store.partition('keyed.servers').compact()
   made.start('three')
@@ -373,3 +373,52 @@
   expect(await made.state('one', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
   expect(made.starts('aaaa.0.0.0')).toHaveLength(1)
 })
+
+test('a late copy of a submission does not bring a job back after its outcome is forgotten either', async () => {
+  const made = await EmulatedFleet.ready(1, ['one'])
+  await made.submit('one', 'aaaa', [{}])
+  const copy = made.emulator.store.partition('keyed.jobs').newest().find(({ key }) => key === 'job/aaaa')
+  await made.clock.advance(5_000)
+  made.emulator.store.put('keyed.jobs', 'job/aaaa', JSON.parse(copy?.value.toString() ?? 'null') as object)
+  await made.clock.advance(125_000)
+  made.kill('one')
+  made.start('two')
+  await made.clock.advance(6_000)
+  expect(await made.state('two', 'aaaa')).toEqual({ kind: 'no-job' })
+  expect(made.starts('aaaa.0.0.0')).toHaveLength(1)
+})
+
+test('submissions that queue in a slow store delay neither the owner nor what runs', async () => {
+  const made = await EmulatedFleet.ready(3, ['one', 'two', 'three'])
+  await made.submit('two', 'aaaa', [{ count: 4 }, { count: 4, after: [0] }])
+  made.emulator.faults.slowAppends.set('keyed.jobs', 1_900)
+  for (let count = 0; count < 6; count++) made.submit('three', `bbb${count}`, [{}]).catch(() => {})
+  await made.clock.advance(6_000)
+  expect(await made.state('two', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+  expect([...made.nodes.values()].flatMap(({ log }) => log.of('term begins'))).toHaveLength(1)
+})
+
+test('a process that has read the submissions and not yet the decisions does not deny a job that is over', async () => {
+  const made = await EmulatedFleet.ready(1, ['one'])
+  await made.submit('one', 'aaaa', [{}])
+  await made.clock.advance(5_000)
+  made.emulator.faults.slowTopics.set('keyed.decisions', 1_500)
+  made.start('two')
+  await made.clock.advance(1_000)
+  expect((await made.state('two', 'aaaa')).kind).toBe('unsure')
+  await made.clock.advance(3_000)
+  expect(await made.state('two', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+})
+
+test('a cancellation that meets the job\'s last end is told alike by all processes', async () => {
+  for (let age = 980; age <= 1_060; age += 5) {
+    const made = await EmulatedFleet.ready(1, ['one', 'two', 'three'])
+    await made.submit('one', 'aaaa', [{}])
+    await made.clock.advance(age)
+    await made.cancel('two', 'aaaa')
+    await made.clock.advance(3_000)
+    const states = new Set(await Promise.all(['one', 'two', 'three'].map(async name => JSON.stringify(await made.state(name, 'aaaa')))))
+    expect(states.size).toBe(1)
+    expect(made.violations()).toEqual([])
+  }
+})
--- /dev/null
+++ b/tests/job-book.test.ts
@@ -0,0 +1,53 @@
+/**
+ * Folding submissions and decisions that come by different ways.
+ */
+import { expect, test } from 'vitest'
+import { JobBook } from '../src/jobs/job-book.js'
+import type { JournalRecord } from '../src/jobs/journal-record.js'
+import type { StepDefinition } from '../src/jobs/step-definition.js'
+
+const STEP: StepDefinition = {
+  count: 1,
+  demand: { millicores: 1_000, memoryMegabytes: 1, accelerators: 0 },
+  estimateMilliseconds: 100,
+  after: [],
+  savesProgress: false,
+  isGang: false,
+  prefersOneRack: false,
+  requiredLabel: '',
+  preferredRack: '',
+  maximumPerWorker: 0,
+  isSpeculative: false,
+  isLasting: false,
+  image: '',
+  targetLatencyMilliseconds: 0,
+  isFiller: false,
+  disruptionBudget: 0
+}
+
+const submission: JournalRecord = { kind: 'submission', submission: { id: 'aaaa', queue: 'queue', team: 'team', specification: '', steps: [STEP], occurrences: 1, startAt: 0, intervalMilliseconds: 0, submittedAt: 0 } }
+const done: JournalRecord = { kind: 'progress', job: 'aaaa', occurrence: 0, step: 0, tasks: [{ phase: 'done', run: 1, failedRuns: [], worker: '', incarnation: 0, checkpoint: '' }] }
+const verdict: JournalRecord = { kind: 'verdict', job: 'aaaa' }
+const outcome: JournalRecord = { kind: 'outcome', job: 'aaaa', queue: 'queue', state: 'completed', occurrences: 1, steps: 1 }
+
+/** State after some records; offsets count within each topic. */
+function stateAfter (records: readonly JournalRecord[]): string | null {
+  const book = new JobBook()
+  records.forEach((record, index) => book.apply(record, index))
+  return book.state('aaaa')
+}
+
+test('decisions that are read before their submission count once it comes', () => {
+  expect(stateAfter([done])).toBe(null)
+  expect(stateAfter([done, submission])).toBe('completed')
+  expect(stateAfter([verdict, submission])).toBe('cancelled')
+  expect(stateAfter([done, verdict, submission])).toBe('completed')
+  expect(stateAfter([outcome, submission])).toBe('completed')
+})
+
+test('a cancellation only shows once the owner has decided on it', () => {
+  const cancellation: JournalRecord = { kind: 'cancellation', job: 'aaaa' }
+  expect(stateAfter([submission, cancellation])).toBe('queued')
+  expect(stateAfter([cancellation, submission, verdict])).toBe('cancelled')
+  expect(stateAfter([submission, done, cancellation, verdict])).toBe('completed')
+})
