--- a/soak/node-process.ts
+++ b/soak/node-process.ts
@@ -11,10 +11,9 @@
 interface NodeLayout {
   readonly name: string
   readonly zone: string
-  /** Where callers reach it. */
-  readonly callersPort: number
-  readonly readinessPort: number
-  readonly metricsPort: number
+  /** Address of its VM. */
+  readonly host: string
+  readonly ports: { readonly callers: number, readonly readiness: number, readonly metrics: number }
   readonly storePort: number
   readonly machinesPort: number
   /** Folder for settings and logs. */
@@ -36,7 +35,7 @@
 
   /** Where callers send requests. */
   get origin (): string {
-    return `http://127.0.0.1:${this.layout.callersPort}`
+    return `http://${this.layout.host}:${this.layout.ports.callers}`
   }
 
   /** Whether the process lives. */
@@ -105,10 +104,10 @@
   }
 
   private _settings (): string {
-    const { name, zone, callersPort, readinessPort, metricsPort, storePort, machinesPort } = this.layout
+    const { name, zone, host, ports, storePort, machinesPort } = this.layout
     return [
       '[process]', `id = "${name}"`, `availabilityZone = "${zone}"`,
-      '[listen]', `callers = "127.0.0.1:${callersPort}"`, `readiness = "127.0.0.1:${readinessPort}"`, `metrics = "127.0.0.1:${metricsPort}"`,
+      '[listen]', `callers = "${host}:${ports.callers}"`, `readiness = "${host}:${ports.readiness}"`, `metrics = "${host}:${ports.metrics}"`,
       '[platform]', `store = "127.0.0.1:${storePort}"`, `machines = "127.0.0.1:${machinesPort}"`, 'advice = ""',
       '[bounds]', 'maximumLeaseMilliseconds = 6000', 'statusRetentionMilliseconds = 120000', 'holderChangeMilliseconds = 3000', 'moveMilliseconds = 1500', 'maintenanceMilliseconds = 2000', ''
     ].join('\n')
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -2,8 +2,6 @@
  * The system's processes and the emulated platform around them.
  */
 import { mkdtempSync } from 'node:fs'
-import { once } from 'node:events'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import type { RandomSource } from '../src/supervision/random-source.js'
@@ -20,8 +18,14 @@
 /** Zones of processes and workers. */
 const ZONES = ['a', 'b', 'c'] as const
 
-/** Network of loopback on which the workers' proxies listen: one for each process, so that several soaks run side by side. */
-const WORKER_NETWORK = `127.${8 + process.pid % 240}`
+/** Network of loopback for this soak's processes and workers, so that several soaks run side by side. */
+const NETWORK = `127.${8 + process.pid % 240}`
+
+/** Third number of the processes' addresses; workers count up from 0. */
+const PROCESS_SUBNET = 250
+
+/** Ports of each process on its own address. */
+const PORTS = { callers: 8340, readiness: 8343, metrics: 7001 }
 
 /** Run times of tasks, in milliseconds. */
 const RUN_MILLISECONDS = { least: 200, most: 1_500 }
@@ -50,7 +54,7 @@
   private _keys: readonly string[] = ['key-0']
 
   constructor (private readonly _random: RandomSource) {
-    this.emulator = new PlatformEmulator(this.clock, task => this._fate(task), WORKER_NETWORK, worker => this._reach(worker))
+    this.emulator = new PlatformEmulator(this.clock, task => this._fate(task), NETWORK, worker => this._reach(worker))
     this._server = new EmulatorServer(this.emulator)
     this.ledger = new JobLedger(entry => this.isDone(entry))
   }
@@ -73,9 +77,8 @@
     const machinesPort = await this._port(this.emulator.addresses.machines)
     for (let count = 0; count < processes; count++) {
       const store = new FaultProxy(await this._port(this.emulator.addresses.store))
-      const [callersPort, readinessPort, metricsPort] = [await this._freePort(), await this._freePort(), await this._freePort()]
       const storePort = await store.listen('127.0.0.1', 0)
-      const node = new NodeProcess({ name: `node-${count}`, zone: ZONES[count % ZONES.length] ?? '', callersPort, readinessPort, metricsPort, storePort, machinesPort, folder: this.folder })
+      const node = new NodeProcess({ name: `node-${count}`, zone: ZONES[count % ZONES.length] ?? '', host: `${NETWORK}.${PROCESS_SUBNET}.${count + 1}`, ports: PORTS, storePort, machinesPort, folder: this.folder })
       this.nodes.push(node)
       this.storeProxies.set(node, store)
       node.start()
@@ -136,14 +139,4 @@
   private async _port (address: string): Promise<number> {
     return Number((await this._server.serve(address)).split(':')[1])
   }
-
-  private async _freePort (): Promise<number> {
-    const server = createServer()
-    server.listen(0, '127.0.0.1')
-    await once(server, 'listening')
-    const { port } = server.address() as AddressInfo
-    server.close()
-    await once(server, 'close')
-    return port
-  }
 }
--- a/src/platform/front-server-task.ts
+++ b/src/platform/front-server-task.ts
@@ -48,19 +48,27 @@
   override async run (signal: AbortSignal): Promise<void> {
     const readiness = createServer()
     const front = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_MILLISECONDS, requestTimeout: 0 })
-    await Promise.all([
-      this._listen(polka({ server: readiness, onNoMatch: (_, response) => this._answerReadiness(response) }), this._readinessAddress),
-      this._listen(this._frontApplication(front), this._address)
-    ])
-    await aborted(signal)
+    try {
+      await this._listen(polka({ server: readiness, onNoMatch: (_, response) => this._answerReadiness(response) }), this._readinessAddress)
+      await this._listen(this._frontApplication(front), this._address)
+      await aborted(signal)
+      await this._finishRequests(front)
+    } finally {
+      // Also when an address is taken: a listener that stays would keep the restarted task from its own address.
+      for (const server of [front, readiness]) {
+        server.close()
+        server.closeAllConnections()
+      }
+    }
+  }
+
+  /** Serves open connections for as long as the grace time allows. */
+  private async _finishRequests (front: Server): Promise<void> {
     const end = this._stopRequestedAt() + STOP_MILLISECONDS
     // The balancer needs two misses; callers with open connections go on using them meanwhile.
     await this._clock.sleepUntil(end)
     front.close()
     while (this._requests.size > 0 && this._clock.now() < end + STOP_MILLISECONDS / 10) await this._clock.sleepUntil(this._clock.now() + STOP_CHECK_MILLISECONDS)
-    front.closeAllConnections()
-    readiness.close()
-    readiness.closeAllConnections()
   }
 
   private _frontApplication (server: Server): Polka {
