--- a/soak/job-entry.ts
+++ b/soak/job-entry.ts
@@ -19,4 +19,6 @@
   isCancelSent: boolean
   /** State that was shown last. */
   state: string
+  /** Epoch milliseconds at which it was. */
+  shownAt: number
 }
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -56,7 +56,7 @@
   constructor (private readonly _random: RandomSource) {
     this.emulator = new PlatformEmulator(this.clock, task => this._fate(task), NETWORK, worker => this._reach(worker))
     this._server = new EmulatorServer(this.emulator)
-    this.ledger = new JobLedger(entry => this.isDone(entry))
+    this.ledger = new JobLedger(this.calm, entry => this.isDone(entry))
   }
 
   /** Key that callers use. */
--- a/src/platform/keyed-topic.ts
+++ b/src/platform/keyed-topic.ts
@@ -25,8 +25,8 @@
 /** Limit on one page of the newest records, in milliseconds: a megabyte over the narrowest link, 7 Mbit/s, and a slow store. */
 const PAGE_TIMEOUT_MILLISECONDS = 4_000
 
-/** Largest page in kilobytes. */
-const PAGE_KILOBYTES = 1_024
+/** Largest page of a read in kilobytes: it passes the narrowest link, 7 Mbit/s, in a third of the allowance, beside other reads. */
+const PAGE_KILOBYTES = 256
 
 /** Bytes before the records of a page: the end and the first kept offset. */
 const PAGE_HEAD_BYTES = 16
--- a/stand-ins/emulator/emulated-store.ts
+++ b/stand-ins/emulator/emulated-store.ts
@@ -26,6 +26,9 @@
 /** Longest queue of a partition, in milliseconds; appends beyond it are refused. */
 const QUEUE_MILLISECONDS = 2_000
 
+/** Largest page of a read that names none, in kilobytes. */
+const DEFAULT_PAGE_KILOBYTES = 1_024
+
 /** Most rows of one page of newest records. */
 const NEWEST_ROWS = 500
 
@@ -119,10 +122,17 @@
     while (partition.end <= from && this._clock.now() < deadline) await this._appended.wait(this._clock, deadline)
     const records = partition.read(from)
     if (!records) return { status: 410, body: { first_offset: partition.first } }
+    const most = Number(query.get('max_kb') ?? DEFAULT_PAGE_KILOBYTES) * 1_024
+    let size = 0
+    // At least one record, however large.
+    const page = records.filter((bytes, index) => {
+      size += bytes.length
+      return index === 0 || size <= most
+    })
     const head = Buffer.alloc(HEAD_BYTES)
     head.writeBigUInt64BE(BigInt(partition.end), 0)
     head.writeBigUInt64BE(BigInt(partition.first), HEAD_BYTES / 2)
-    return { status: 200, body: Buffer.concat([head, ...records.flatMap(bytes => [this._length(bytes), bytes])]) }
+    return { status: 200, body: Buffer.concat([head, ...page.flatMap(bytes => [this._length(bytes), bytes])]) }
   }
 
   private _newest (partition: EmulatedPartition, query: URLSearchParams): StoreAnswer {
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -23,6 +23,10 @@
   latencyMilliseconds = 4
   /** Extra time that reads of a topic's newest records take, in milliseconds, by topic. */
   readonly slowTopics = new Map<string, number>()
+  /** Bytes a second that a caller's link carries; a caller without an entry has any number. */
+  readonly links = new Map<string, number>()
+  /** Epoch milliseconds until which each of these links is busy. */
+  private readonly _busyLinks = new Map<string, number>()
   /** Extra time that appends to a topic take, in milliseconds, by topic. */
   readonly slowAppends = new Map<string, number>()
   /** Appends to come that are carried out without an answer. */
@@ -41,6 +45,15 @@
     return true
   }
 
+  /** Answers to one caller pass its link one after the other. */
+  private async _passLink (caller: string, { body }: StoreAnswer, clock: Clock): Promise<void> {
+    const bytesPerSecond = this.links.get(caller)
+    if (bytesPerSecond === undefined || !Buffer.isBuffer(body)) return
+    const until = Math.max(clock.now(), this._busyLinks.get(caller) ?? 0) + body.length / bytesPerSecond * 1_000
+    this._busyLinks.set(caller, until)
+    await clock.sleepUntil(until)
+  }
+
   /** Serves a call of the store under the present faults; null stands for no answer. */
   async apply (caller: string, call: string, topic: string, serve: () => Promise<StoreAnswer>, clock: Clock): Promise<StoreAnswer | null> {
     if (this.cutCallers.has(caller)) return null
@@ -48,6 +61,7 @@
     const slow = call === 'log-newest' ? this.slowTopics : call === 'log-append' ? this.slowAppends : null
     await clock.sleepUntil(clock.now() + this.latencyMilliseconds + (slow?.get(topic) ?? 0))
     const answer = await serve()
+    await this._passLink(caller, answer, clock)
     if (call === 'log-append' && this.lostAnswers > 0) {
       this.lostAnswers -= 1
       return null
--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -56,6 +56,22 @@
   expect(made.violations()).toEqual([])
 })
 
+test('a process on a narrow link catches up with a journal that went far ahead', async () => {
+  const made = await EmulatedFleet.ready(1, ['one', 'two'])
+  const other = [...made.nodes.keys()].find(name => name !== made.owner()) ?? ''
+  const node = made.nodes.get(other)
+  made.emulator.faults.cutCallers.add(other)
+  // Three megabytes in each of two topics, which take the narrowest link of the platform, 7 Mbit/s, seven seconds.
+  for (let count = 0; count < 60; count++) {
+    for (const topic of ['keyed.decisions', 'keyed.jobs']) made.emulator.store.put(topic, `wave/${count + 100}`, { wave: count + 100, ordered: ['x'.repeat(50_000)], begun: [], isCompleted: true })
+  }
+  made.emulator.faults.links.set(other, 875_000)
+  made.emulator.faults.cutCallers.delete(other)
+  await made.clock.advance(12_000)
+  expect(node?.tree.decisions.book.wave(159)).not.toBe(null)
+  expect(node?.tree.isReady).toBe(true)
+})
+
 test('a process on a small VM owns the journal only if there is none on a larger one', async () => {
   for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
     const made = new EmulatedFleet(seed)
