Let no reload end a process that is loading its modules

Loading the modules takes 0.1 to 1 s after a restart.

Ruled out: covering Node's own start, some 50 to 150 ms here (trial: SIGHUP at 60 to 150 ms still ends it); no program of this runtime can. The soak sends no SIGHUP within a second of a start.

--- a/soak/node-process.ts
+++ b/soak/node-process.ts
@@ -7,6 +7,9 @@
 /** The program as it is deployed. */
 const PROGRAM = 'target/samphireglade-node.mjs'
 
+/** Time that Node takes until the program's first statement, in milliseconds; until then SIGHUP ends any program. */
+const BOOT_MILLISECONDS = 1_000
+
 /** What a process is started with. */
 interface NodeLayout {
   readonly name: string
@@ -28,6 +31,7 @@
   readonly unexpectedEnds: string[] = []
   private _child: ChildProcess | null = null
   private _isEndExpected = false
+  private _startedAt = 0
 
   constructor (readonly layout: NodeLayout) {
     writeFileSync(this._settingsPath, this._settings())
@@ -50,6 +54,7 @@
     const child = spawn(process.execPath, [PROGRAM, '--settings', this._settingsPath], { stdio: ['ignore', 'pipe', 'pipe'], env: {} })
     this._child = child
     this._isEndExpected = false
+    this._startedAt = Date.now()
     this.isStopping = false
     child.stdout?.pipe(log, { end: false })
     child.stderr?.pipe(log, { end: false })
@@ -85,6 +90,7 @@
 
   /** Sends a signal that doesn't end the process. */
   signal (name: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+    if (name === 'SIGHUP' && Date.now() < this._startedAt + BOOT_MILLISECONDS) return
     this._child?.kill(name)
   }
 
