--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -16,6 +16,9 @@
 /** Age of the operators' view up to which it settles that a queue or key doesn't exist, in milliseconds; under the bound in which configurations take hold. */
 const MAXIMUM_VIEW_AGE_MILLISECONDS = 1_500
 
+/** Age of the journal's view up to which a count of waiting jobs is told, in milliseconds, as callers are promised. */
+const MAXIMUM_COUNT_AGE_MILLISECONDS = 2_000
+
 /** When a caller refused for want of the store is to come back, in milliseconds from now. */
 const RETRY_MILLISECONDS = 1_000
 
@@ -73,6 +76,8 @@
   pending (call: JobCall): JobAnswer {
     const queue = this._admit(call)
     if ('kind' in queue) return this._told('pending', call.path, queue)
+    const countedAt = Math.min(this._submissions.freshAt, this._decisions.freshAt)
+    if (countedAt < this._clock.now() - MAXIMUM_COUNT_AGE_MILLISECONDS) return this._told('pending', call.path, this._later('unsure'))
     return { kind: 'pending', count: this._book.pending(queue.name) }
   }
 
--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -72,6 +72,17 @@
   expect(node?.tree.isReady).toBe(true)
 })
 
+test('a process that lags behind the journal counts no waiting jobs', async () => {
+  const made = await EmulatedFleet.ready(1, ['one', 'two'])
+  const other = [...made.nodes.keys()].find(name => name !== made.owner()) ?? ''
+  const count = (): string => JSON.stringify(made.nodes.get(other)?.tree.service.pending({ host: 'fleet.example', path: '/q/', key: 'key-of-team', deadline: 0 }))
+  expect(count()).toBe('{"kind":"pending","count":0}')
+  made.emulator.faults.cutCallers.add(other)
+  await made.submit(made.owner(), 'aaaa', [{ count: 100 }, { count: 100 }])
+  await made.clock.advance(4_000)
+  expect(count()).toContain('unsure')
+})
+
 test('a process on a small VM owns the journal only if there is none on a larger one', async () => {
   for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
     const made = new EmulatedFleet(seed)
