Mend what grew: one place says whether a worker is open, one step that tests vary

Change: no behaviour; WorkerRoster.isOpen, OwnedTask.noteFailure, tests/support/plain-step.ts, stand-ins/emulator/job-body.ts.

--- a/soak/caller-task.ts
+++ b/soak/caller-task.ts
@@ -2,6 +2,7 @@
  * One caller with connections of its own.
  */
 import { Pool } from 'undici'
+import { jobBody } from '../stand-ins/emulator/job-body.js'
 import type { Clock } from '../src/supervision/clock.js'
 import type { RandomSource } from '../src/supervision/random-source.js'
 import { Task } from '../src/supervision/task.js'
@@ -71,10 +72,10 @@
     const id = (this._number % HEXADECIMAL).toString(HEXADECIMAL) + count.toString(HEXADECIMAL).padStart(ID_DIGITS - 1, '0')
     const width = 1 + this._random.integer(4)
     const isLasting = this._random.next() < LASTING_SHARE
-    const steps = isLasting ? [{ count: 2, daemon: true, may_miss: 1, cpu: 2_000 }] : [{ count: width, cpu: 2_000, estimate_ms: 500 }, { count: 1, cpu: 1_000, estimate_ms: 300, after: [0] }]
+    const steps = isLasting ? [{ count: 2, isLasting, millicores: 2_000 }] : [{ count: width, millicores: 2_000, estimateMilliseconds: 500 }, { count: 1, millicores: 1_000, estimateMilliseconds: 300, after: [0] }]
     const entry = this._ledger.open(id, steps.flatMap(({ count: tasks }, step) => Array.from({ length: tasks }, (_, index) => `${id}.0.${step}.${index}`)), isLasting)
     for (let attempt = 0; attempt < ATTEMPTS && entry.acceptedAt === Infinity; attempt++) {
-      const { status } = await this._call('POST', id, { spec: 'soak', steps })
+      const { status } = await this._call('POST', id, jobBody(steps))
       if (status === 200) entry.acceptedAt = this._clock.now()
       else if (status === 0 || status === 504 || status === 502) entry.openAttempts += 1
     }
--- a/src/capacity/pool-strength.ts
+++ b/src/capacity/pool-strength.ts
@@ -1,8 +1,6 @@
 /**
  * How many VMs each pool can count on.
  */
-import type { ConfigurationTask } from '../configuration/configuration-task.js'
-import type { FleetWorker } from '../scheduling/fleet-worker.js'
 import type { WorkerRoster } from '../scheduling/worker-roster.js'
 import type { FleetVirtualMachine } from './fleet-virtual-machine.js'
 import type { InventoryTask } from './inventory-task.js'
@@ -12,7 +10,7 @@
 
 /** Counts each VM once: a VM on its way, whose old worker may still be listed and whose new one already is, counts for its destination. */
 export class PoolStrength {
-  constructor (private readonly _configuration: ConfigurationTask, private readonly _roster: WorkerRoster, private readonly _inventory: InventoryTask) {}
+  constructor (private readonly _roster: WorkerRoster, private readonly _inventory: InventoryTask) {}
 
   /**
    * VMs that take tasks or are about to, by pool.
@@ -32,11 +30,6 @@
 
   private _isUsable (machine: FleetVirtualMachine, now: number): boolean {
     const worker = machine.state === 'up' ? this._roster.find(machine.worker) : null
-    return worker !== null && this._takesTasks(worker, now)
-  }
-
-  private _takesTasks (worker: FleetWorker, now: number): boolean {
-    return worker.isListed && !worker.entry.isDraining && !worker.isClosing && !this._configuration.isZoneOut(worker.entry.availabilityZone) &&
-      Math.max(worker.heardAt, worker.knownSince) >= now - SILENCE_MILLISECONDS
+    return worker !== null && this._roster.isOpen(worker) && Math.max(worker.heardAt, worker.knownSince) >= now - SILENCE_MILLISECONDS
   }
 }
--- a/src/main/owner-tree.ts
+++ b/src/main/owner-tree.ts
@@ -131,7 +131,7 @@
     return [
       inventory,
       new PoolSizingTask(
-        configuration, new PoolSituations(configuration, jobs, roster, inventory, new PoolStrength(configuration, roster, inventory)), roster, new DemandPoolSizing(), inventory, control, reservations, bounds, term, onLost, isViewCurrent, clock, this._metrics, log
+        configuration, new PoolSituations(configuration, jobs, roster, inventory, new PoolStrength(roster, inventory)), roster, new DemandPoolSizing(), inventory, control, reservations, bounds, term, onLost, isViewCurrent, clock, this._metrics, log
       ),
       new WaveTask(configuration, book, roster, writer, inventory, control, board, reservations, bounds, term, onLost, isAdopted, clock, log)
     ]
--- a/src/main/samphireglade-node.ts
+++ b/src/main/samphireglade-node.ts
@@ -1,9 +1,7 @@
 #!/usr/bin/env node
 /**
- * Starts the daemon on the users' platform.
+ * Starts the daemon on the users' platform. SIGHUP is taken before anything is loaded, since it would end the process by default.
  */
-
-// Before anything is loaded: a reload that is asked for meanwhile would end the process, and the settings are read only afterwards.
 process.on('SIGHUP', () => {})
 const { NodeDaemon } = await import('./node-daemon.js')
 
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -35,12 +35,8 @@
     private readonly _configuration: ConfigurationTask,
     private readonly _writer: DecisionWriterTask,
     private readonly _orders: RunOrders,
-    private readonly _jobs: JobRegister,
-    private readonly _roster: WorkerRoster,
-    private readonly _room: RoomBook,
-    private readonly _clock: Clock,
-    private readonly _metrics: Metrics,
-    private readonly _log: DecisionLog
+    private readonly _jobs: JobRegister, private readonly _roster: WorkerRoster, private readonly _room: RoomBook,
+    private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
   }
@@ -85,7 +81,7 @@
     if (task.phase === 'done' || task.step.definition.isLasting || end.run > task.run) return
     this._log.note('late end', { task: task.name, run: end.run, how: end.how, present: task.run, phase: task.phase })
     if (end.how === 'failed') {
-      this._noteFailure(task, end.run)
+      task.noteFailure(end.run)
       this._writer.write(task.step)
     }
     if (end.how !== 'done') return
@@ -196,9 +192,7 @@
 
   private _launch (task: OwnedTask, worker: FleetWorker, run: number): void {
     if (task.run !== run || task.worker !== worker || task.runState !== 'intended') return
-    const { entry } = worker
-    const isUsable = !entry.isDraining && worker.isListed && !worker.isClosing && !this._configuration.isZoneOut(entry.availabilityZone)
-    if (task.step.job.isOver || !isUsable) {
+    if (task.step.job.isOver || !this._roster.isOpen(worker)) {
       if (task.step.definition.isGang) this._stopGang(task)
       this._requeue(task)
       return
@@ -211,15 +205,11 @@
   /** Counts a failed run; whether the task has had as many as its queue allows. */
   private _hasExhausted (task: OwnedTask): boolean {
     const { isGang, isLasting } = task.step.definition
-    for (const member of isGang ? task.step.tasks : [task]) this._noteFailure(member, task.run)
+    for (const member of isGang ? task.step.tasks : [task]) member.noteFailure(task.run)
     const queue = this._configuration.queue(task.step.job.view.submission.queue)
     return !isLasting && queue !== null && task.failedRuns.length >= queue.maximumAttempts
   }
 
-  private _noteFailure (task: OwnedTask, run: number): void {
-    if (!task.failedRuns.includes(run)) task.failedRuns = [...task.failedRuns, run]
-  }
-
   private _finish (task: OwnedTask, phase: 'done' | 'failed'): void {
     this._room.detach(task)
     task.phase = phase
--- a/src/scheduling/owned-step.ts
+++ b/src/scheduling/owned-step.ts
@@ -8,9 +8,6 @@
 /** Tasks of one step, with how many of them are done. */
 export class OwnedStep {
   readonly tasks: readonly OwnedTask[]
-  /** Whether rows wait to be written. */
-  isDirty = false
-
   constructor (readonly job: OwnedJob, readonly occurrence: number, readonly index: number, readonly definition: StepDefinition) {
     const rows = job.view.tasks(occurrence, index)
     this.tasks = Array.from({ length: definition.count }, (_, task) => new OwnedTask(this, task, rows?.[task] ?? null))
--- a/src/scheduling/owned-task.ts
+++ b/src/scheduling/owned-task.ts
@@ -61,6 +61,11 @@
     return this.phase === 'placed' && this.runState === 'running' && this.percent >= 100
   }
 
+  /** Counts a run that failed, once. */
+  noteFailure (run: number): void {
+    if (!this.failedRuns.includes(run)) this.failedRuns = [...this.failedRuns, run]
+  }
+
   /** The row for the journal. */
   get progress (): TaskProgress {
     const isPlaced = this.phase === 'placed'
--- a/src/scheduling/worker-roster.ts
+++ b/src/scheduling/worker-roster.ts
@@ -53,12 +53,15 @@
     return this._workers.get(id) ?? null
   }
 
+  /** Whether nothing that is planned keeps a worker from work: it stays, and so does its zone. */
+  isOpen ({ entry, isListed, isClosing }: FleetWorker): boolean {
+    return isListed && !entry.isDraining && !isClosing && !this._configuration.isZoneOut(entry.availabilityZone)
+  }
+
   /** Whether a worker may be given something new. */
   isUsable (worker: FleetWorker, now: number): boolean {
-    const { entry } = worker
-    return worker.isListed && !entry.isDraining && !worker.isClosing && worker.avoidedUntil <= now &&
-      worker.leaseDeadline > 0 && worker.heardAt > worker.doubtedSince && worker.heardAt >= now - MAXIMUM_REPORT_AGE_MILLISECONDS &&
-      !this._configuration.isZoneOut(entry.availabilityZone)
+    return this.isOpen(worker) && worker.avoidedUntil <= now && worker.leaseDeadline > 0 &&
+      worker.heardAt > worker.doubtedSince && worker.heardAt >= now - MAXIMUM_REPORT_AGE_MILLISECONDS
   }
 
   /**
--- a/tests/job-book.test.ts
+++ b/tests/job-book.test.ts
@@ -4,28 +4,9 @@
 import { expect, test } from 'vitest'
 import { JobBook } from '../src/jobs/job-book.js'
 import type { JournalRecord } from '../src/jobs/journal-record.js'
-import type { StepDefinition } from '../src/jobs/step-definition.js'
+import { PLAIN_STEP } from './support/plain-step.js'
 
-const STEP: StepDefinition = {
-  count: 1,
-  demand: { millicores: 1_000, memoryMegabytes: 1, accelerators: 0 },
-  estimateMilliseconds: 100,
-  after: [],
-  savesProgress: false,
-  isGang: false,
-  prefersOneRack: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maximumPerWorker: 0,
-  isSpeculative: false,
-  isLasting: false,
-  image: '',
-  targetLatencyMilliseconds: 0,
-  isFiller: false,
-  disruptionBudget: 0
-}
-
-const submission: JournalRecord = { kind: 'submission', submission: { id: 'aaaa', queue: 'queue', team: 'team', specification: '', steps: [STEP], occurrences: 1, startAt: 0, intervalMilliseconds: 0, submittedAt: 0 } }
+const submission: JournalRecord = { kind: 'submission', submission: { id: 'aaaa', queue: 'queue', team: 'team', specification: '', steps: [PLAIN_STEP], occurrences: 1, startAt: 0, intervalMilliseconds: 0, submittedAt: 0 } }
 const done: JournalRecord = { kind: 'progress', job: 'aaaa', occurrence: 0, step: 0, tasks: [{ phase: 'done', run: 1, failedRuns: [], worker: '', incarnation: 0, checkpoint: '' }] }
 const verdict: JournalRecord = { kind: 'verdict', job: 'aaaa' }
 const outcome: JournalRecord = { kind: 'outcome', job: 'aaaa', queue: 'queue', state: 'completed', occurrences: 1, steps: 1 }
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -11,6 +11,7 @@
 import { runViolations } from '../../stand-ins/emulator/run-violations.js'
 import { PlatformEmulator } from '../../stand-ins/emulator/platform-emulator.js'
 import { FakeClock } from './fake-clock.js'
+import { PLAIN_STEP } from './plain-step.js'
 import { QuietLog } from './quiet-log.js'
 import { SuspendableClock } from './suspendable-clock.js'
 
@@ -18,26 +19,6 @@
 const HOST = 'fleet.example'
 const KEY = 'key-of-team'
 
-/** Step that tests vary. */
-const STEP: StepDefinition = {
-  count: 1,
-  demand: { millicores: 4_000, memoryMegabytes: 1_000, accelerators: 0 },
-  estimateMilliseconds: 1_000,
-  after: [],
-  savesProgress: false,
-  isGang: false,
-  prefersOneRack: false,
-  requiredLabel: '',
-  preferredRack: '',
-  maximumPerWorker: 0,
-  isSpeculative: false,
-  isLasting: false,
-  image: '',
-  targetLatencyMilliseconds: 0,
-  isFiller: false,
-  disruptionBudget: 0
-}
-
 /** A process under test. */
 interface Node {
   readonly tree: NodeTree
@@ -133,7 +114,7 @@
 
   /** Submits a job at a process. */
   submit (node: string, id: string, steps: readonly Partial<StepDefinition>[], more: { occurrences?: number, startAt?: number, intervalMilliseconds?: number } = {}): Promise<JobAnswer> {
-    const job = { specification: 'text', steps: steps.map(step => ({ ...STEP, ...step })), occurrences: 1, startAt: 0, intervalMilliseconds: 0, ...more }
+    const job = { specification: 'text', steps: steps.map(step => ({ ...PLAIN_STEP, ...step })), occurrences: 1, startAt: 0, intervalMilliseconds: 0, ...more }
     return this._wait(this._service(node).submit(this._call(id), id, job))
   }
 
