--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -50,6 +50,9 @@
   /** Folder of settings and logs. */
   readonly folder = mkdtempSync(join(tmpdir(), 'samphireglade-soak-'))
   private readonly _server: EmulatorServer
+  /** Proxies that are about to listen. */
+  private readonly _opening: Promise<void>[] = []
+  private _isClosed = false
   private _version = 0
   private _keys: readonly string[] = ['key-0']
 
@@ -113,7 +116,9 @@
 
   /** Ends all processes, by their ids, and everything that listens. */
   async close (): Promise<void> {
-    await Promise.all(this.nodes.map(node => node.kill()))
+    // A VM that comes back later must not listen in the next run's place.
+    this._isClosed = true
+    await Promise.all([...this.nodes.map(node => node.kill()), ...this._opening])
     for (const proxy of [...this.storeProxies.values(), ...this.workerProxies.values()]) proxy.close()
     this._server.close()
   }
@@ -127,13 +132,15 @@
   private _reach (worker: EmulatedWorker): void {
     const number = this.emulator.lives.length
     if (number % ZONES.length === 0) worker.clockRate = SLOW_CLOCK_RATE
-    if (this.workerProxies.has(worker.address)) return
-    const [host = '', port] = worker.address.split(':')
-    this._port(worker.address).then(async target => {
-      const proxy = new FaultProxy(target)
-      this.workerProxies.set(worker.address, proxy)
-      await proxy.listen(host, Number(port))
-    }).catch((error: Error) => this.ledger.findings.push(`soak: no proxy for ${worker.address}: ${error.message}`))
+    if (this._isClosed || this.workerProxies.has(worker.address)) return
+    this._opening.push(this._open(worker.address).catch((error: Error) => { this.ledger.findings.push(`soak: no proxy for ${worker.address}: ${error.message}`) }))
+  }
+
+  private async _open (address: string): Promise<void> {
+    const [host = '', port] = address.split(':')
+    const proxy = new FaultProxy(await this._port(address))
+    this.workerProxies.set(address, proxy)
+    await proxy.listen(host, Number(port))
   }
 
   private async _port (address: string): Promise<number> {
