Test that a process whose decisions lag denies no job that is over

Cause: a mutation of the wait in JobService that no test caught (the other mutations of the two topics were caught: one topic for both, absence from one topic, retirement without dropping the submission). The new test reads both topics anew, the decisions later; without the wait the job is denied.

--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -449,3 +449,23 @@
     expect(made.violations()).toEqual([])
   }
 })
+
+test('a process whose decisions lag behind its submissions does not deny a job that is over', async () => {
+  const made = await EmulatedFleet.ready(1, ['one', 'two'])
+  const owner = made.owner()
+  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  made.emulator.faults.cutCallers.add(other)
+  await made.submit(owner, 'aaaa', [{}])
+  await made.clock.advance(5_000)
+  // Both topics have to be read anew; the one that still names the job comes later.
+  for (const topic of ['keyed.jobs', 'keyed.decisions']) made.emulator.store.partition(topic).compact()
+  made.emulator.faults.slowTopics.set('keyed.decisions', 900)
+  made.emulator.faults.cutCallers.delete(other)
+  const kinds = new Set<string>()
+  for (let look = 0; look < 60; look++) {
+    kinds.add((await made.state(other, 'aaaa')).kind)
+    await made.clock.advance(50)
+  }
+  expect([...kinds]).not.toContain('no-job')
+  expect(await made.state(other, 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+})
