Let ends of a worker's earlier life acknowledge nothing of its next one

While the store refused appends, the worker crashed and began its next life, which numbers its ends from 1 again; the append then went through and set the acknowledged number of the life before. Ends of the new life that nobody had seen were acknowledged with it, the run counted as lost, and started again. The owner also asked that worker without a pause from then on.

Change: the number is set only for the life that it came from; and after a call without an answer nothing is acknowledged until one is there, since another life may be.

Ruled out: the emulator as the cause; its wait for a lease that held nothing did keep the test from ending, and is mended.

Shown: before the mend the new test doesn't end (the owner asks again and again without time passing; stopped after 60 s), after it it passes.

--- a/src/scheduling/worker-hold-task.ts
+++ b/src/scheduling/worker-hold-task.ts
@@ -57,7 +57,8 @@
       const wait = worker.heardAt > 0 && worker.handled === worker.acknowledged ? WAIT_MILLISECONDS : 0
       const request = {
         leaseDeadline: this._mayExtend() ? worker.extendLease(askedAt, this._lease.milliseconds) : null,
-        acknowledged: worker.acknowledged,
+        // After a call without an answer another incarnation may be there, whose ends have the same numbers.
+        acknowledged: this._failures === 0 ? worker.acknowledged : 0,
         waitMilliseconds: wait
       }
       const { client } = worker
@@ -86,10 +87,11 @@
   /** Ends may be acknowledged once the journal has them. */
   private async _acknowledge (signal: AbortSignal): Promise<void> {
     const { _worker: worker } = this
-    const { handled } = worker
+    const { handled, entry: { incarnation } } = worker
     if (handled === worker.acknowledged) return
     const written = new Promise<void>(resolve => this._writer.whenWritten(() => {
-      worker.acknowledged = Math.max(worker.acknowledged, handled)
+      // The next incarnation numbers its ends from 1 again: none of them has been seen.
+      if (worker.entry.incarnation === incarnation) worker.acknowledged = Math.max(worker.acknowledged, handled)
       resolve()
     }))
     const giveUp = new AbortController()
--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -118,7 +118,8 @@
     this._ended = this._ended.filter(([number]) => number > acknowledged)
     const until = this._clock.now() + wait
     while (this._ended.length === 0 && this._clock.now() < until) {
-      const next = Math.min(until, this._leaseEnd(), ...[...this._runs.values()].map(({ endsAt }) => endsAt))
+      // A lease only ends something while something runs.
+      const next = Math.min(until, ...this._runs.size > 0 ? [this._leaseEnd()] : [], ...[...this._runs.values()].map(({ endsAt }) => endsAt))
       await this._changed.wait(this._clock, next)
       this.settle()
     }
--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -469,3 +469,26 @@
   expect([...kinds]).not.toContain('no-job')
   expect(await made.state(other, 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
 })
+
+test('ends of a worker\'s earlier life acknowledge nothing of its next one', async () => {
+  const made = new EmulatedFleet(1)
+  const worker = made.emulator.addMachine('work', 'a')
+  made.configure({ hasStandby: false })
+  made.start('one')
+  await made.clock.advance(2_000)
+  await made.submit('one', 'aaaa', [{}])
+  await made.clock.advance(500)
+  // The end is taken in, and can't be written before the worker has begun its next life.
+  made.emulator.faults.refusal = 503
+  await made.clock.advance(1_000)
+  worker?.kill()
+  if (worker) made.emulator.revive(worker)
+  await made.clock.advance(400)
+  made.emulator.faults.refusal = 0
+  await made.clock.advance(2_500)
+  await made.submit('one', 'bbbb', [{}])
+  await made.clock.advance(8_000)
+  expect(await made.state('one', 'bbbb')).toEqual({ kind: 'state', state: 'completed' })
+  expect(made.starts('bbbb.0.0.0')).toHaveLength(1)
+  expect(made.violations()).toEqual([])
+})
