Forget a finished job once; let the test of a worker's lives fail rather than hang

While the submission of a job to be forgotten was being dropped (a slow store), the next round took the outcome for a new one, kept it for another two minutes and forgot it a second time; errors of that path were swallowed.

Change: a job is marked while it is being forgotten; the task waits for its disposals. A call to an emulated worker takes a millisecond. EmulatedFleet.bystander.

--- a/src/main/owner-tree.ts
+++ b/src/main/owner-tree.ts
@@ -104,8 +104,7 @@
       worker => new WorkerHoldTask(worker, schedule, roster, reader, writer, lease, onLost, clock, random, metrics, log),
       workers, clock, random, metrics, log
     )
-    const viewAt = (): number => this._viewAt()
-    const placement = new PlacementTask(schedule, jobs, roster, room, new UrgencyPlacement(configuration, room.usage), advice, configuration, viewAt, clock, metrics, log)
+    const placement = new PlacementTask(schedule, jobs, roster, room, new UrgencyPlacement(configuration, room.usage), advice, configuration, () => this._viewAt(), clock, metrics, log)
     const adoption = new AdoptionTask(book, directory, schedule, placement, clock)
 
     const owner = this._supervisor('owner')
--- a/src/scheduling/outcome-task.ts
+++ b/src/scheduling/outcome-task.ts
@@ -17,7 +17,7 @@
 /** Writes outcomes in place of finished jobs' records, and drops them in the end. */
 export class OutcomeTask extends Task {
   override readonly name = 'outcomes'
-  /** Epoch milliseconds since which each state is kept, oldest first. */
+  /** Epoch milliseconds since which each state is kept; Infinity once it is being forgotten. */
   private readonly _keptSince = new Map<string, number>()
 
   /**
@@ -35,7 +35,7 @@
     while (!signal.aborted) {
       const now = this._clock.now()
       this._finish()
-      this._retire(now)
+      await this._retire(now)
       await this._clock.sleepUntil(now + INTERVAL_MILLISECONDS, signal).catch(() => {})
     }
   }
@@ -44,25 +44,28 @@
     for (const { id, view } of this._jobs.takeFinished()) {
       const { state, submission: { queue, occurrences, steps } } = view
       if (state === 'queued' || state === 'running') continue
-      this._writer.append({ kind: 'outcome', job: id, queue, state, occurrences, steps: steps.length }, () => { this._dispose(id).catch(() => {}) })
+      this._writer.append({ kind: 'outcome', job: id, queue, state, occurrences, steps: steps.length }, () => {
+        // What fails here is made up for when the outcome is forgotten.
+        void this._dispose(id)
+      })
     }
   }
 
   /** A new owner counts the time of what it finds from the start of its term. */
-  private _retire (now: number): void {
+  private async _retire (now: number): Promise<void> {
     for (const job of this._book.outcomes) if (!this._keptSince.has(job)) this._keptSince.set(job, now)
-    for (const [job, since] of this._keptSince) {
-      if (since > now - this._retentionMilliseconds) break
-      this._keptSince.delete(job)
-      // A late copy of the submission may have come since; without the outcome it would be a new job.
-      this._dispose(job).then(isDropped => {
-        if (isDropped) this._writer.append({ kind: 'retirement', job })
-        else this._keptSince.set(job, this._clock.now())
-      }).catch(() => {})
-    }
+    const expired = [...this._keptSince].filter(([, since]) => since <= now - this._retentionMilliseconds).map(([job]) => job)
+    await Promise.all(expired.map(job => this._forget(job)))
+  }
+
+  /** A late copy of the submission may have come since it was dropped; without the outcome it would be a new job. */
+  private async _forget (job: string): Promise<void> {
+    if (!await this._dispose(job)) return
+    this._keptSince.set(job, Infinity)
+    this._writer.append({ kind: 'retirement', job }, () => this._keptSince.delete(job))
   }
 
-  /** Drops the submission of a job whose outcome is written. */
+  /** Drops the submission of a job whose outcome is written; whether that lasts. */
   private async _dispose (job: string): Promise<boolean> {
     return await this._submissions.write({ kind: 'disposal', job }, this._clock.now() + DISPOSAL_MILLISECONDS) === 'written'
   }
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -23,6 +23,9 @@
 /** Lists of VMs and orders to them that the interface takes a second, each, from all processes together. */
 const MACHINE_CALLS_PER_SECOND = 64
 
+/** Way of a call to a worker, in milliseconds: whoever asks again and again takes time. */
+const WORKER_LATENCY_MILLISECONDS = 1
+
 /** First two numbers of workers' addresses, unless the emulator is served on a real network. */
 const WORKER_NETWORK = '10.8'
 
@@ -150,6 +153,7 @@
   private async _callWorker ({ address, headers, body, isBrokenOff }: EmulatedRequest, call: string): Promise<{ status: number, body: Buffer } | null> {
     const worker = this._workers.get(address)
     if (!worker || worker.isCut) return null
+    await this._clock.sleepUntil(this._clock.now() + WORKER_LATENCY_MILLISECONDS)
     if (headers['expect-instance'] !== worker.id) return this._answer({ status: 421, body: {} })
     const order = JSON.parse(body.toString()) as Record<string, never>
     if (call === 'run-start' && this.faults.takeLateStart()) {
--- a/tests/fleet-capacity.test.ts
+++ b/tests/fleet-capacity.test.ts
@@ -57,7 +57,7 @@
   await made.clock.advance(2_000)
   for (let index = 0; index < 3; index++) made.fates.set(`aaaa.0.0.${index}`, { milliseconds: Infinity, how: 'done' })
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   await made.submit(other, 'aaaa', [{ count: 3, isLasting: true, disruptionBudget: 1 }])
   await made.clock.advance(1_000)
   const machine = made.emulator.lives.find(({ running }) => running.length > 0)?.machine ?? ''
--- a/tests/fleet-failures.test.ts
+++ b/tests/fleet-failures.test.ts
@@ -8,7 +8,7 @@
   const made = await EmulatedFleet.ready(2, ['one', 'two', 'three'])
   made.fates.set('aaaa.0.0.0', { milliseconds: 8_000, how: 'done' })
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   await made.submit(other, 'aaaa', [{}, { after: [0] }])
   await made.clock.advance(500)
   made.kill(owner)
@@ -20,8 +20,7 @@
 
 test('ownership stays with its holder while other processes come and go', async () => {
   const made = await EmulatedFleet.ready(1, ['one', 'two'])
-  const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   made.start('three')
   await made.clock.advance(3_000)
   await made.end(other)
@@ -33,7 +32,7 @@
 test('a process that stops in good order hands ownership over without a pause', async () => {
   const made = await EmulatedFleet.ready(1, ['one', 'two'])
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   made.nodes.get(owner)?.stop.abort()
   await made.clock.advance(1_000)
   expect(made.nodes.get(other)?.log.of('term begins')).toHaveLength(1)
@@ -42,7 +41,7 @@
 test.each([0, 20])('what the owner has decided %i ms before it stops in good order is neither lost nor repeated', async age => {
   const made = await EmulatedFleet.ready(1, ['one', 'two'])
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   made.emulator.faults.startLatencyMilliseconds = 100
   for (let index = 0; index < 4; index++) made.fates.set(`aaaa.0.0.${index}`, { milliseconds: 3_000, how: 'done' })
   await made.submit(other, 'aaaa', [{ count: 4 }])
@@ -58,7 +57,7 @@
 
 test('a process on a narrow link catches up with a journal that went far ahead', async () => {
   const made = await EmulatedFleet.ready(1, ['one', 'two'])
-  const other = [...made.nodes.keys()].find(name => name !== made.owner()) ?? ''
+  const other = made.bystander()
   const node = made.nodes.get(other)
   made.emulator.faults.cutCallers.add(other)
   // Three megabytes in each of two topics, which take the narrowest link of the platform, 7 Mbit/s, seven seconds.
@@ -74,7 +73,7 @@
 
 test('a process that lags behind the journal counts no waiting jobs', async () => {
   const made = await EmulatedFleet.ready(1, ['one', 'two'])
-  const other = [...made.nodes.keys()].find(name => name !== made.owner()) ?? ''
+  const other = made.bystander()
   const count = (): string => JSON.stringify(made.nodes.get(other)?.tree.service.pending({ host: 'fleet.example', path: '/q/', key: 'key-of-team', deadline: 0 }))
   expect(count()).toBe('{"kind":"pending","count":0}')
   made.emulator.faults.cutCallers.add(other)
@@ -172,7 +171,7 @@
 test('an end is acknowledged only once the journal has it', async () => {
   const made = await EmulatedFleet.ready(1, ['one', 'two'])
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   await made.submit(other, 'aaaa', [{}])
   await made.clock.advance(500)
   made.emulator.faults.refusal = 503
@@ -188,7 +187,7 @@
 test('an acknowledgement waits for the append that is on its way', async () => {
   const made = await EmulatedFleet.ready(1, ['one', 'two'])
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   await made.submit(other, 'aaaa', [{ count: 2 }])
   await made.clock.advance(500)
   // The append of the ends never arrives, and never gets an answer.
@@ -292,7 +291,7 @@
 test('failures that are reported again to a later owner count once', async () => {
   const made = await EmulatedFleet.ready(2, ['one', 'two', 'three'])
   made.fates.set('aaaa.0.0.0', { milliseconds: 100, how: 'failed' })
-  const other = [...made.nodes.keys()].find(name => name !== made.owner()) ?? ''
+  const other = made.bystander()
   await made.submit(other, 'aaaa', [{}])
   await made.clock.advance(140)
   made.kill(made.owner())
@@ -328,7 +327,7 @@
 test('an owner cut off with a worker does not keep its runs beyond what the next owner waits', async () => {
   const made = await EmulatedFleet.ready(2, ['one', 'two', 'three'])
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   made.fates.set('aaaa.0.0.0', { milliseconds: Infinity, how: 'done' })
   await made.submit(other, 'aaaa', [{ isLasting: true }])
   await made.clock.advance(1_000)
@@ -345,7 +344,7 @@
 test('an owner that was suspended does not extend leases as if no time had passed', async () => {
   const made = await EmulatedFleet.ready(2, ['one', 'two', 'three'])
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   made.fates.set('aaaa.0.0.0', { milliseconds: Infinity, how: 'done' })
   await made.submit(other, 'aaaa', [{ isLasting: true }])
   await made.clock.advance(1_000)
@@ -364,7 +363,7 @@
 test('an owner whose term is lost acknowledges nothing that it could not write', async () => {
   const made = await EmulatedFleet.ready(2, ['one', 'two', 'three'])
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   await made.submit(other, 'aaaa', [{}])
   await made.clock.advance(500)
   const worker = made.emulator.lives.find(({ id }) => id === made.starts('aaaa.0.0.0')[0]?.worker)
@@ -453,7 +452,7 @@
 test('a process whose decisions lag behind its submissions does not deny a job that is over', async () => {
   const made = await EmulatedFleet.ready(1, ['one', 'two'])
   const owner = made.owner()
-  const other = [...made.nodes.keys()].find(name => name !== owner) ?? ''
+  const other = made.bystander()
   made.emulator.faults.cutCallers.add(other)
   await made.submit(owner, 'aaaa', [{}])
   await made.clock.advance(5_000)
@@ -492,3 +491,13 @@
   expect(made.starts('bbbb.0.0.0')).toHaveLength(1)
   expect(made.violations()).toEqual([])
 })
+
+test('a finished job is forgotten by one record, also where dropping its submission takes a while', async () => {
+  const made = await EmulatedFleet.ready(1, ['one'])
+  await made.submit('one', 'aaaa', [{}])
+  await made.clock.advance(5_000)
+  made.emulator.faults.slowAppends.set('keyed.jobs', 1_200)
+  await made.clock.advance(260_000)
+  const dropped = made.emulator.store.partition('keyed.decisions').read(0)?.filter(bytes => bytes.subarray(1).toString() === 'over/aaaa')
+  expect(dropped).toHaveLength(1)
+})
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -134,6 +134,12 @@
     return terms.sort((left, right) => right.term - left.term)[0]?.name ?? ''
   }
 
+  /** Name of a process that doesn't own the journal. */
+  bystander (): string {
+    const owner = this.owner()
+    return [...this.nodes.keys()].find(name => name !== owner) ?? ''
+  }
+
   /** Starts of a task, over all lives of workers. */
   starts (task: string): { worker: string, run: number, at: number }[] {
     return this.emulator.lives.flatMap(({ id, starts }) => starts.filter(start => start.task === task).map(({ run, at }) => ({ worker: id, run, at })))
