--- a/benchmarks/run-benchmarks.ts
+++ b/benchmarks/run-benchmarks.ts
@@ -11,6 +11,7 @@
 import { LimitsBenchmark } from './limits-benchmark.js'
 import { MemberCostBenchmark } from './member-cost-benchmark.js'
 import { MemoryBenchmark } from './memory-benchmark.js'
+import { OwnerCostBenchmark } from './owner-cost-benchmark.js'
 import { PlacementBenchmark } from './placement-benchmark.js'
 import { RolloutBenchmark } from './rollout-benchmark.js'
 import { SeededFaultsBenchmark } from './seeded-faults-benchmark.js'
@@ -32,6 +33,7 @@
   new MemberCostBenchmark(),
   new StateSizeBenchmark(),
   new MemoryBenchmark(),
+  new OwnerCostBenchmark(),
   new SeededFaultsBenchmark()
 ]
 
--- a/stand-ins/emulator/emulator-server.ts
+++ b/stand-ins/emulator/emulator-server.ts
@@ -12,15 +12,21 @@
 
   constructor (private readonly _emulator: PlatformEmulator) {}
 
-  /** Starts serving an emulated address and returns the real one, as IP address and port. */
+  /** Starts serving an emulated address on a free port and returns the real address, as IP address and port. */
   async serve (address: string): Promise<string> {
+    return this.serveAt(address, '127.0.0.1:0')
+  }
+
+  /** Starts serving an emulated address at a real one and returns the latter, as IP address and port. */
+  async serveAt (address: string, realAddress: string): Promise<string> {
+    const [host = '', port] = realAddress.split(':')
     const server = createServer((message, response) => {
       this._respond(address, message, response).catch(() => response.destroy())
     })
     this._servers.push(server)
-    server.listen(0, '127.0.0.1')
+    server.listen(Number(port), host)
     await once(server, 'listening')
-    return `127.0.0.1:${(server.address() as AddressInfo).port}`
+    return `${host}:${(server.address() as AddressInfo).port}`
   }
 
   /** Closes all servers and their connections. */
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -50,6 +50,8 @@
   readonly faults = new EmulatorFaults()
   /** Every incarnation of every worker, for checks. */
   readonly workerIncarnations: EmulatedWorker[] = []
+  /** Number of calls to workers. */
+  workerCalls = 0
   /** Current incarnation of each worker, by address. */
   private readonly _workersByAddress = new Map<string, EmulatedWorker>()
   private readonly _listLimiter: RateLimiter
@@ -151,6 +153,7 @@
   }
 
   private async _callWorker ({ address, headers, body, isAborted }: EmulatedRequest, call: string): Promise<{ status: number, body: Buffer } | null> {
+    this.workerCalls += 1
     const worker = this._workersByAddress.get(address)
     if (!worker || worker.isDisconnected) return null
     await this._clock.sleepUntil(this._clock.now() + WORKER_LATENCY_MILLISECONDS)
