Let the owner do more with each call, and survive odd input

Causes: (1) the owner reads back each decision that it has just appended; (2) it polls idle workers every second and asks again after each single completion, also when it is short of processor time; (3) chains and targets of jobs are computed again in each round; (4) a record that fails to apply ends its follower, which reads it again after the restart, until all processes have ended; (5) a job of 10,000 tasks in a step makes a record that the store refuses, upon which each owner in turn loses its term; a submission above the record size is repeated until its caller's deadline. Change: (1) own appends advance the follower; it reads only when it has not appended for a second. (2) idle workers are polled for 2 s, and a worker counts as reachable until its next report is due; intervals grow with the utilization of the event loop (OwnerPace, LoadMonitorTask, two metrics, log lines when a process becomes overloaded and when it no longer is). (3) computed once. (4) such a record is skipped, counted and logged. (5) limits on tasks of a step and of a job, 413 for what the store can't hold, appends bounded by their size. Lasting tasks no longer collect their failed runs without bound.

--- a/src/configuration/configuration-follower-task.ts
+++ b/src/configuration/configuration-follower-task.ts
@@ -79,7 +79,7 @@
 
   protected override reload (changes: ReadonlyArray<FeedChange<OperatorChange>>): void {
     this._zonesOutOfService.clear()
-    for (const change of changes) this.apply(change)
+    for (const change of changes) this.applyOrSkip(change)
   }
 
   protected override apply ({ value, offset }: FeedChange<OperatorChange>): void {
--- a/src/feeds/feed-follower-task.ts
+++ b/src/feeds/feed-follower-task.ts
@@ -64,11 +64,14 @@
     let isFollowing = false
     let wasQuiet: boolean = false
     while (!signal.aborted) {
+      if (isFollowing) await this.untilReadNeeded(signal)
+      if (signal.aborted) return
       const requestedAt = this.clock.now()
+      const from = this._nextOffset
       // After a change the view is only as fresh as the start of the read that returned it; a short poll makes it fresh again.
       const wait: number = wasQuiet ? this.longPollMilliseconds() : SHORT_POLL_MILLISECONDS
       const page = isFollowing
-        ? await this._feed.read(this._nextOffset, requestedAt + wait, signal)
+        ? await this._feed.read(from, requestedAt + wait, signal)
         : await this._feed.newest(signal)
       if (signal.aborted) return
       if (page.isLeft()) {
@@ -79,16 +82,16 @@
         continue
       }
       const { changes, next, end } = page.unsafeCoerce()
-      const isQuiet = isFollowing && next === this._nextOffset
+      const isQuiet = isFollowing && next === from
       this._backoff.reset()
       this._recordReachability(true, '')
-      if (isFollowing) for (const change of changes) this.apply(change)
+      if (isFollowing) for (const change of changes) this.applyOrSkip(change)
       else this.reload(changes)
       if (!isFollowing) this.log.emit('feed loaded', { feed: this.name, records: changes.length, offset: next })
-      this._nextOffset = next
+      this._nextOffset = isFollowing ? Math.max(this._nextOffset, next) : next
       this._isLoaded = true
       // A read without changes returned only after its wait had passed, so nothing was written until then.
-      if (next >= end) this._freshAt = isQuiet ? Math.min(this.clock.now(), requestedAt + wait) : requestedAt
+      if (next >= end) this._freshAt = Math.max(this._freshAt, isQuiet ? Math.min(this.clock.now(), requestedAt + wait) : requestedAt)
       isFollowing = true
       wasQuiet = isQuiet
       this.changed.notify()
@@ -96,7 +99,30 @@
     }
   }
 
-  /** Replaces the state with the newest record of each key. */
+  /** Counts everything before an offset as applied, as of `freshAt` (epoch milliseconds). */
+  protected advance (nextOffset: number, freshAt: number): void {
+    this._nextOffset = Math.max(this._nextOffset, nextOffset)
+    this._freshAt = Math.max(this._freshAt, freshAt)
+    this.changed.notify()
+  }
+
+  /** Resolves when the feed has to be read; followers that learn of changes in another way override it. */
+  protected async untilReadNeeded (_signal: AbortSignal): Promise<void> {}
+
+  /**
+   * Applies a change. One that can't be applied is logged and skipped: every process reads the same records, so that an error
+   * which ended the task would end all processes, and again after each restart.
+   */
+  protected applyOrSkip (change: FeedChange<T>): void {
+    try {
+      this.apply(change)
+    } catch (error) {
+      this.metrics.count('feeds.skipped', 1, this.name)
+      this.log.emit('record skipped', { feed: this.name, offset: change.offset, cause: (error as Error).message })
+    }
+  }
+
+  /** Replaces the state with the newest record of each key, through `applyOrSkip`. */
   protected abstract reload (changes: ReadonlyArray<FeedChange<T>>): void
 
   /** Applies one change. */
--- a/src/jobs/job-response.ts
+++ b/src/jobs/job-response.ts
@@ -4,7 +4,7 @@
 import type { JobState } from './job-state.js'
 
 /**
- * `not-run`: the request was not carried out and never will be; `unknown`: it may have been carried out; `unsure`: this process
+ * `too-large`: the journal can't hold the job, which never runs; `not-run`: the request was not carried out and never will be; `unknown`: it may have been carried out; `unsure`: this process
  * can't tell at present, because its view is stale or incomplete.
  */
 export type JobResponse =
@@ -13,4 +13,4 @@
   | { readonly kind: 'pending', readonly count: number }
   | { readonly kind: 'cancelled' }
   | { readonly kind: 'not-run' | 'unsure', readonly retryAt: number }
-  | { readonly kind: 'unknown' | 'no-queue' | 'no-job' | 'unauthorized' }
+  | { readonly kind: 'too-large' | 'unknown' | 'no-queue' | 'no-job' | 'unauthorized' }
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -44,7 +44,9 @@
     if (!this._isViewCurrent) return this._respond('submit', id, this._retryLater('not-run'))
     const team = this._configuration.teamOfKey(request.key)?.name ?? ''
     const submission = { ...job, id, queue: queue.name, team, submittedAt: this._clock.now() }
-    const result = await this._writer.write({ kind: 'submission', submission }, request.deadline - RESPONSE_MARGIN_MILLISECONDS)
+    const record = { kind: 'submission', submission } as const
+    if (this._submissionJournal.sizeOf(record) > this._submissionJournal.sizeLimits.record) return this._respond('submit', id, { kind: 'too-large' })
+    const result = await this._writer.write(record, request.deadline - RESPONSE_MARGIN_MILLISECONDS)
     this._metrics.timing('jobs.submit.milliseconds', this._clock.now() - submission.submittedAt)
     return this._respond('submit', id, this._writeResponse(result, { kind: 'accepted' }))
   }
--- a/src/jobs/job-submission.ts
+++ b/src/jobs/job-submission.ts
@@ -14,7 +14,7 @@
   /** Opaque instructions for the tasks. */
   specification: z.string(),
   steps: z.array(StepDefinition).min(1),
-  occurrences: z.number().int().min(1),
+  occurrences: z.number().int().min(1).max(1_000),
   /** Epoch milliseconds at which occurrence 0 is due; 0 for immediately. */
   startAt: z.number().min(0),
   /** Time between the due times of two consecutive occurrences, in milliseconds. */
--- a/src/jobs/journal-follower-task.ts
+++ b/src/jobs/journal-follower-task.ts
@@ -3,6 +3,7 @@
  */
 import { FeedFollowerTask } from '../feeds/feed-follower-task.js'
 import type { FeedChange } from '../feeds/feed-change.js'
+import type { AppendedRange } from './appended-range.js'
 import type { JobTable } from './job-table.js'
 import type { JournalRecord } from './journal-record.js'
 
@@ -12,12 +13,19 @@
 /** Minimum time between two reads by all other processes, in milliseconds; adds to the age of the states that callers see. */
 const READ_INTERVAL_MILLISECONDS = 100
 
+/** Time for which the owner relies on its own appends instead of reading the topic, in milliseconds; it renews its term three times as often. */
+const OWN_APPEND_VALIDITY_MILLISECONDS = 1_000
+
+/** Time after which the owner checks again whether it has to read, in milliseconds. */
+const OWN_APPEND_POLL_MILLISECONDS = 100
+
 /** Longest wait of one read for a record, in milliseconds, so that a dead owner is detected soon. */
 const LONG_POLL_MILLISECONDS = 500
 
 /** Follows one topic of the journal, submissions or decisions, in every process. */
 export class JournalFollowerTask extends FeedFollowerTask<JournalRecord> {
   private _ownerLastContactAt = 0
+  private _ownAppendAt = -Infinity
 
   /**
    * @param name name of the topic in logs and metrics.
@@ -32,10 +40,23 @@
     return this._ownerLastContactAt
   }
 
+  /**
+   * Counts records that this process has appended as its owner, and applied, as read: the store has refused those of all others since.
+   *
+   * @param sentAt epoch milliseconds at which the append was sent.
+   */
+  recordOwnAppend ({ first, next }: AppendedRange, sentAt: number): void {
+    this._ownerLastContactAt = this.clock.now()
+    // Records before the first one may have to be read still.
+    if (first > this.nextOffset) return
+    this._ownAppendAt = sentAt
+    this.advance(next, sentAt)
+  }
+
   protected override reload (changes: ReadonlyArray<FeedChange<JournalRecord>>): void {
     // Outcomes are applied first, because a late copy of a finished job's submission may follow its outcome. Submissions are applied before their progress.
     const ordered = changes.toSorted((left, right) => this._replayOrder(left) - this._replayOrder(right))
-    for (const change of ordered) this.apply(change)
+    for (const change of ordered) this.applyOrSkip(change)
   }
 
   private _replayOrder ({ value }: FeedChange<JournalRecord>): number {
@@ -48,6 +69,13 @@
     if (this.jobTable.ownerRecordCount !== ownerRecordCount) this._ownerLastContactAt = this.clock.now()
   }
 
+  /** While this process owns the journal, its own appends keep the view current. */
+  protected override async untilReadNeeded (signal: AbortSignal): Promise<void> {
+    while (this.jobTable.observer && this.clock.now() < this._ownAppendAt + OWN_APPEND_VALIDITY_MILLISECONDS && !signal.aborted) {
+      await this.clock.sleepUntil(this.clock.now() + OWN_APPEND_POLL_MILLISECONDS, signal).catch(() => {})
+    }
+  }
+
   protected override longPollMilliseconds (): number {
     return LONG_POLL_MILLISECONDS
   }
--- a/src/jobs/submission-writer-task.ts
+++ b/src/jobs/submission-writer-task.ts
@@ -30,6 +30,8 @@
 /** A record that waits to be written. */
 interface PendingWrite {
   readonly record: JournalRecord
+  /** Size of the record as stored, in bytes. */
+  readonly size: number
   /** Epoch milliseconds until which the caller waits for the outcome. */
   readonly deadline: number
   readonly resolve: (result: WriteResult) => void
@@ -60,7 +62,7 @@
   write (record: JournalRecord, deadline: number): Promise<WriteResult> {
     if (this._pending.length >= MAXIMUM_PENDING_RECORDS) return Promise.resolve('not-written')
     return new Promise(resolve => {
-      this._pending.push({ record, deadline, resolve, isUnconfirmed: false })
+      this._pending.push({ record, size: this._journal.sizeOf(record), deadline, resolve, isUnconfirmed: false })
       this._wake.notify()
     })
   }
@@ -69,7 +71,7 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted || this._pending.length > 0) {
       this._expire()
-      const batch = this._pending.slice(0, MAXIMUM_BATCH_RECORDS)
+      const batch = this._nextBatch()
       if (batch.length === 0) {
         await this._wake.wait(this._clock, Infinity, signal)
         continue
@@ -80,6 +82,18 @@
     }
   }
 
+  /** Returns the oldest pending records that fit into one append. */
+  private _nextBatch (): PendingWrite[] {
+    let size = 0
+    const batch: PendingWrite[] = []
+    for (const pendingWrite of this._pending) {
+      size += pendingWrite.size
+      if (batch.length >= MAXIMUM_BATCH_RECORDS || size > this._journal.sizeLimits.append) break
+      batch.push(pendingWrite)
+    }
+    return batch
+  }
+
   private _completeBatch (batch: readonly PendingWrite[]): void {
     this._backoff.reset()
     this._pending = this._pending.slice(batch.length)
--- a/src/main/node-daemon.ts
+++ b/src/main/node-daemon.ts
@@ -3,6 +3,8 @@
  */
 import { randomInt } from 'node:crypto'
 import { parseArgs } from 'node:util'
+import { EventLoopLoad } from '../observability/event-loop-load.js'
+import { LoadMonitorTask } from '../observability/load-monitor-task.js'
 import { PrometheusMetrics } from '../observability/prometheus-metrics.js'
 import { StandardOutputLog } from '../observability/standard-output-log.js'
 import { HttpDialer } from '../platform/http-dialer.js'
@@ -50,7 +52,8 @@
     const tracing = settings.traces
     const stopTracing = tracing ? (await import('../observability/start-tracing.js')).startTracing(tracing.endpoint, settings.process.id) : async () => {}
     const stopController = new AbortController()
-    const tree = new NodeTree(settings, new HttpDialer(clock), clock, new SeededRandomSource(randomInt(SEED_BOUND)), metrics, decisionLog)
+    const load = new EventLoopLoad()
+    const tree = new NodeTree(settings, new HttpDialer(clock), clock, new SeededRandomSource(randomInt(SEED_BOUND)), metrics, decisionLog, load)
     for (const reason of ['SIGTERM', 'SIGINT'] as const) {
       process.on(reason, () => {
         if (!stopController.signal.aborted) decisionLog.emit('process stopping', { reason })
@@ -68,7 +71,7 @@
     })
     decisionLog.emit('process started', { availabilityZone: settings.process.availabilityZone, startedInMilliseconds: Math.round(performance.now()) })
     try {
-      await tree.buildRoot(metrics).run(stopController.signal)
+      await tree.buildRoot(metrics, new LoadMonitorTask(load, clock, metrics, decisionLog)).run(stopController.signal)
       return 0
     } catch (error) {
       decisionLog.emit('process failed', { error: (error as Error).stack ?? String(error) })
--- a/src/main/node-tree.ts
+++ b/src/main/node-tree.ts
@@ -10,6 +10,7 @@
 import { DecisionLogSupervisorObserver } from '../observability/decision-log-supervisor-observer.js'
 import { MetricsServerTask } from '../observability/metrics-server-task.js'
 import type { Metrics } from '../observability/metrics.js'
+import type { ProcessorLoad } from '../observability/processor-load.js'
 import type { PrometheusMetrics } from '../observability/prometheus-metrics.js'
 import { ownerResourceShortfall } from '../ownership/owner-resource-shortfall.js'
 import { OwnershipTask } from '../ownership/ownership-task.js'
@@ -71,7 +72,7 @@
 
   constructor (
     private _settings: NodeSettings, private readonly _dialer: Dialer, private readonly _clock: Clock, private readonly _random: RandomSource,
-    private readonly _metrics: Metrics, private readonly _log: DecisionLog
+    private readonly _metrics: Metrics, private readonly _log: DecisionLog, private readonly _load: ProcessorLoad
   ) {
     this._holder = `${_settings.process.id}-${Math.round(_clock.now())}-${_random.integer(HOLDER_SUFFIX_BOUND)}`
     this._supervisorObserver = new DecisionLogSupervisorObserver(_log, _metrics)
@@ -103,8 +104,8 @@
     this._settings = settings
   }
 
-  /** Builds the tree with its servers. */
-  buildRoot (metrics: PrometheusMetrics): Supervisor {
+  /** Builds the tree with its servers and the task that measures the load. */
+  buildRoot (metrics: PrometheusMetrics, loadMonitor: Task): Supervisor {
     const { listen } = this._settings
     const requests = this._createSupervisor('requests')
     const maximumBodyBytes = (): number => this.configuration.configuration?.maximumBodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES
@@ -113,7 +114,7 @@
     )
     const root = this._createSupervisor('root')
     // Children stop in reverse order: ownership is released before the front end closes its connections.
-    for (const child of [new MetricsServerTask(listen.metrics, metrics), ...this._viewTasks(), requests, frontEndServer, ...this._ownershipTasks()]) root.add(child)
+    for (const child of [new MetricsServerTask(listen.metrics, metrics), loadMonitor, ...this._viewTasks(), requests, frontEndServer, ...this._ownershipTasks()]) root.add(child)
     return root
   }
 
@@ -145,7 +146,7 @@
     return new OwnerTreeFactory(
       () => this._settings, this._holder, dialer, this._storeClient, virtualMachineControl, advisor,
       this._decisionJournal, this.decisions, this.submissions, this._submissionWriter, this.configuration,
-      this._supervisorObserver, this._clock, this._random, this._metrics, this._log
+      this._supervisorObserver, this._clock, this._random, this._metrics, this._log, this._load
     )
   }
 
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -16,6 +16,7 @@
 import type { SubmissionWriterTask } from '../jobs/submission-writer-task.js'
 import type { DecisionLog } from '../observability/decision-log.js'
 import type { Metrics } from '../observability/metrics.js'
+import type { ProcessorLoad } from '../observability/processor-load.js'
 import { OwnerFactory } from '../ownership/owner-factory.js'
 import type { TermClaim } from '../ownership/term-claim.js'
 import { HttpWorkerConnector } from '../platform/http-worker-connector.js'
@@ -30,6 +31,7 @@
 import type { Advisor } from '../scheduling/advisor.js'
 import { DecisionWriterTask } from '../scheduling/decision-writer-task.js'
 import { FleetSchedule } from '../scheduling/fleet-schedule.js'
+import { OwnerPace } from '../scheduling/owner-pace.js'
 import { OutcomeRetentionTask } from '../scheduling/outcome-retention-task.js'
 import { ScheduledJobTable } from '../scheduling/scheduled-job-table.js'
 import { FillerThrottlingTask } from '../scheduling/filler-throttling-task.js'
@@ -77,7 +79,8 @@
     private readonly _virtualMachineControl: FleetVirtualMachineControl | null, private readonly _advisor: Advisor | null,
     private readonly _decisionJournal: JobJournal, private readonly _decisions: JournalFollowerTask, private readonly _submissions: JournalFollowerTask,
     private readonly _submissionWriter: SubmissionWriterTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _supervisorObserver: SupervisorObserver,
-    private readonly _clock: Clock, private readonly _random: RandomSource, private readonly _metrics: Metrics, private readonly _log: DecisionLog
+    private readonly _clock: Clock, private readonly _random: RandomSource, private readonly _metrics: Metrics, private readonly _log: DecisionLog,
+    private readonly _load: ProcessorLoad
   ) {
     super()
   }
@@ -89,9 +92,10 @@
       leaseMilliseconds: Math.min(LEASE_MILLISECONDS, timings.maximumLeaseMilliseconds * MAXIMUM_LEASE_FRACTION),
       renewalGracePeriodMilliseconds: RENEWAL_GRACE_PERIOD_MILLISECONDS
     }
+    const pace = new OwnerPace(this._load)
     const leaseRenewals = this._createSupervisor('holds')
     const orders = this._createSupervisor('orders')
-    const writer = new DecisionWriterTask(this._decisionJournal, jobTable, term, claim.sentAt, this._holder, onLost, clock, random, metrics)
+    const writer = new DecisionWriterTask(this._decisionJournal, this._decisions, term, claim.sentAt, this._holder, onLost, clock, random, metrics)
     const dispatcher: SupervisedRunOrderDispatcher = new SupervisedRunOrderDispatcher(
       orders,
       (task, worker) => new StartRunTask(task, worker, advice, schedule, dispatcher, onLost, clock, metrics),
@@ -106,11 +110,11 @@
     const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock), record => WorkerCodec.decode(record))
     const workerRegistry = new WorkerRegistryFollowerTask(
       workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(this._dialer), term,
-      worker => new LeaseRenewalTask(worker, schedule, workerTable, reconciler, writer, leaseDurations, onLost, clock, random, metrics, log),
+      worker => new LeaseRenewalTask(worker, schedule, workerTable, reconciler, writer, leaseDurations, pace, onLost, clock, random, metrics, log),
       workerFeed, clock, random, metrics, log
     )
     const placement = new PlacementTask(
-      schedule, scheduledJobs, workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration,
+      schedule, scheduledJobs, workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
     const takeover = new TakeoverTask(jobTable, workerRegistry, schedule, placement, clock)
--- a/src/observability/metric-name.ts
+++ b/src/observability/metric-name.ts
@@ -13,9 +13,9 @@
   'requests.waiting.level', 'requests.running.level', 'requests.wait.milliseconds', 'requests.total.milliseconds',
   'endpoints.connections.level', 'endpoints.opened_connections', 'endpoints.refusals', 'endpoints.ejections', 'endpoints.probes', 'endpoints.silent_connections',
   'grants.units.level', 'grants.adjustments', 'claims.won', 'claims.joined', 'claims.unavailable',
-  'feeds.lost', 'feeds.regained', 'configuration.version.level', 'journal.append_failures', 'journal.append.milliseconds', 'logs.dropped', 'logs.failed',
+  'feeds.lost', 'feeds.regained', 'feeds.skipped', 'configuration.version.level', 'journal.append_failures', 'journal.append.milliseconds', 'logs.dropped', 'logs.failed',
   'jobs.calls', 'jobs.submit.milliseconds', 'runs.started', 'runs.refused', 'runs.unsettled', 'runs.ended', 'runs.lost', 'runs.stray', 'runs.paced', 'runs.start.milliseconds',
-  'placement.placed', 'advice.milliseconds', 'capacity.moves', 'placement.round.milliseconds', 'workers.hold_failures',
+  'process.utilization.level', 'process.lag.milliseconds', 'placement.placed', 'advice.milliseconds', 'capacity.moves', 'placement.round.milliseconds', 'workers.hold_failures',
   'control.decisions', 'control.lease_losses', 'control.operations', 'supervision.restarts', 'supervision.failures'
 ])
 export type MetricName = z.infer<typeof MetricName>
--- a/src/platform/job-request-task.ts
+++ b/src/platform/job-request-task.ts
@@ -92,6 +92,7 @@
       case 'cancelled': return { status: 200, body: {} }
       case 'state': return { status: 200, body: { state: jobResponse.state } }
       case 'pending': return whenAdmitted ?? { status: 200, body: { pending: jobResponse.count } }
+      case 'too-large': return { status: 413, body: { error: 'the job is too large to be stored' } }
       case 'no-queue': return { status: 404, body: { error: 'no such queue' } }
       case 'no-job': return { status: 410, body: { error: 'no such job' } }
       case 'unauthorized': return { status: 401, body: { error: 'unknown key' } }
--- a/src/platform/topic-journal.ts
+++ b/src/platform/topic-journal.ts
@@ -4,6 +4,7 @@
 import type { Either } from 'purify-ts/Either'
 import type { FeedError } from '../feeds/feed-error.js'
 import type { FeedPage } from '../feeds/feed-page.js'
+import type { AppendedRange } from '../jobs/appended-range.js'
 import { JobJournal } from '../jobs/job-journal.js'
 import type { JournalFence } from '../jobs/journal-fence.js'
 import type { JournalRecord } from '../jobs/journal-record.js'
@@ -11,6 +12,13 @@
 import type { KeyedTopic } from './keyed-topic.js'
 import { TopicFeed } from './topic-feed.js'
 
+/** Limits of the store on one record and on one append, in bytes. */
+const MAXIMUM_RECORD_BYTES = 262_144
+const MAXIMUM_APPEND_BYTES = 2_097_152
+
+/** Length fields of a record and of its key, in bytes. */
+const RECORD_OVERHEAD_BYTES = 5
+
 /** Encodes each journal record as one or more keyed records and appends them in order. */
 export class TopicJournal extends JobJournal {
   private readonly _feed: TopicFeed<JournalRecord>
@@ -20,6 +28,12 @@
     this._feed = new TopicFeed(_topic, record => JournalCodec.decode(record))
   }
 
+  override readonly sizeLimits = { record: MAXIMUM_RECORD_BYTES, append: MAXIMUM_APPEND_BYTES }
+
+  override sizeOf (record: JournalRecord): number {
+    return JournalCodec.encode(record).reduce((size, { key, value }) => size + key.length + value.length + RECORD_OVERHEAD_BYTES, 0)
+  }
+
   override newest (signal: AbortSignal): Promise<Either<FeedError, FeedPage<JournalRecord>>> {
     return this._feed.newest(signal)
   }
@@ -28,7 +42,8 @@
     return this._feed.read(offset, waitDeadline, signal)
   }
 
-  override append (records: readonly JournalRecord[], fence: JournalFence | null, deadline: number, signal: AbortSignal): Promise<Either<FeedError, number>> {
-    return this._topic.append(records.flatMap(record => JournalCodec.encode(record)), fence, deadline, signal)
+  override async append (records: readonly JournalRecord[], fence: JournalFence | null, deadline: number, signal: AbortSignal): Promise<Either<FeedError, AppendedRange>> {
+    const encoded = records.flatMap(record => JournalCodec.encode(record))
+    return (await this._topic.append(encoded, fence, deadline, signal)).map(first => ({ first, next: first + encoded.length }))
   }
 }
--- a/src/platform/wire-job.ts
+++ b/src/platform/wire-job.ts
@@ -12,8 +12,14 @@
 /** Maximum number of occurrences of a job. */
 const MAXIMUM_OCCURRENCES = 1_000
 
+/** Maximum number of tasks of a step: their progress is one record of the store. */
+const MAXIMUM_TASKS_PER_STEP = 2_000
+
+/** Maximum number of tasks of a job, in all occurrences: the owner of the journal keeps them in memory. */
+const MAXIMUM_TASKS_PER_JOB = 20_000
+
 const WireStep = z.object({
-  count: z.number().int().min(1).max(10_000).default(1),
+  count: z.number().int().min(1).max(MAXIMUM_TASKS_PER_STEP).default(1),
   estimate_ms: z.number().min(0).default(0),
   after: z.array(z.number().int().min(0)).default([]),
   saves_progress: z.boolean().default(false),
@@ -58,6 +64,9 @@
 }).refine(
   ({ steps }) => steps.every(({ after }, index) => after.every(earlier => earlier < index)),
   'steps may only come after earlier ones'
+).refine(
+  ({ steps, repeat_count: occurrences }) => Math.max(1, occurrences) * steps.reduce((sum, { count }) => sum + count, 0) <= MAXIMUM_TASKS_PER_JOB,
+  `a job may have at most ${MAXIMUM_TASKS_PER_JOB} tasks in all occurrences`
 ).transform((job): Omit<JobSubmission, 'id' | 'queue' | 'team' | 'submittedAt'> => ({
   specification: job.spec,
   steps: job.steps,
--- a/src/scheduling/decision-writer-task.ts
+++ b/src/scheduling/decision-writer-task.ts
@@ -2,8 +2,8 @@
  * Writer of the owner's decisions to the journal.
  */
 import type { FeedError } from '../feeds/feed-error.js'
-import type { JobTable } from '../jobs/job-table.js'
 import type { JobJournal } from '../jobs/job-journal.js'
+import type { JournalFollowerTask } from '../jobs/journal-follower-task.js'
 import type { JournalRecord } from '../jobs/journal-record.js'
 import type { Metrics } from '../observability/metrics.js'
 import { aborted } from '../supervision/aborted.js'
@@ -15,8 +15,8 @@
 import { Task } from '../supervision/task.js'
 import type { ScheduledStep } from './scheduled-step.js'
 
-/** A step with a usual number of tasks takes a few hundred bytes. */
-const MAXIMUM_STEPS_PER_APPEND = 256
+/** Bounds the size of an append: the row of a task takes about a hundred bytes, and an append may have two megabytes. */
+const MAXIMUM_TASKS_PER_APPEND = 10_000
 
 /** Timeout of one attempt; a slow store responds within a few hundred milliseconds. */
 const APPEND_TIMEOUT_MILLISECONDS = 1_500
@@ -52,12 +52,13 @@
   private _isWriting = false
 
   /**
+   * @param _decisions follower of the journal, which needn't read what this task has written.
    * @param _term the owner's term; its first append, the claim, had sequence number 0.
    * @param claimedAt epoch milliseconds at which the claim was sent.
    * @param _onTermLost called when the store rejects an append for good, as it does once a higher term has been claimed.
    */
   constructor (
-    private readonly _journal: JobJournal, private readonly _jobTable: JobTable, private readonly _term: number, claimedAt: number, private readonly _holder: string, private readonly _onTermLost: (cause: string) => void,
+    private readonly _journal: JobJournal, private readonly _decisions: Pick<JournalFollowerTask, 'jobTable' | 'recordOwnAppend'>, private readonly _term: number, claimedAt: number, private readonly _holder: string, private readonly _onTermLost: (cause: string) => void,
     private readonly _clock: Clock, random: RandomSource, private readonly _metrics: Metrics
   ) {
     super()
@@ -132,7 +133,7 @@
   }
 
   private _nextBatch (): Batch {
-    const steps = [...this._pendingSteps].slice(0, MAXIMUM_STEPS_PER_APPEND)
+    const steps = this._nextSteps()
     // A callback may depend on any of the steps, so callbacks go with the batch that has the last of them.
     const isLast = steps.length === this._pendingSteps.size
     for (const step of steps) this._pendingSteps.delete(step)
@@ -145,6 +146,18 @@
     return { records, callbacks }
   }
 
+  /** Returns pending steps that fit into one append: at least one, if there is one. */
+  private _nextSteps (): ScheduledStep[] {
+    const steps: ScheduledStep[] = []
+    let tasks = 0
+    for (const step of this._pendingSteps) {
+      tasks += step.tasks.length
+      if (steps.length > 0 && tasks > MAXIMUM_TASKS_PER_APPEND) break
+      steps.push(step)
+    }
+    return steps
+  }
+
   private async _appendToJournal (records: readonly JournalRecord[], signal: AbortSignal): Promise<boolean> {
     const fence = { term: this._term, sequence: this._sequence }
     for (;;) {
@@ -152,8 +165,10 @@
       const startedTimeOfDay = this._clock.timeOfDay()
       const result = await this._journal.append(records, fence, startedAt + APPEND_TIMEOUT_MILLISECONDS, NEVER_ABORTED)
       if (result.isRight()) {
-        const offset = result.unsafeCoerce()
-        records.forEach((record, index) => this._jobTable.apply(record, offset + index))
+        const range = result.unsafeCoerce()
+        // A record may take several offsets; those of the records of one append only have to be in order.
+        records.forEach((record, index) => this._decisions.jobTable.apply(record, range.first + index))
+        this._decisions.recordOwnAppend(range, startedAt)
         this._sequence += 1
         this._confirmedAt = startedAt
         this._confirmedAtTimeOfDay = startedTimeOfDay
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -205,9 +205,11 @@
   /** Records a failed run; returns whether the task has used up the attempts that its queue allows. */
   private _recordFailedRun (task: ScheduledTask): boolean {
     const { isGang, isLasting } = task.step.definition
+    // Lasting tasks may fail any number of times.
+    if (isLasting) return false
     for (const member of isGang ? task.step.tasks : [task]) member.recordFailure(task.run)
     const queue = this._configuration.queue(task.step.job.view.submission.queue)
-    return !isLasting && queue !== null && task.failedRuns.length >= queue.maximumAttempts
+    return queue !== null && task.failedRuns.length >= queue.maximumAttempts
   }
 
   private _finishTask (task: ScheduledTask, phase: 'done' | 'failed'): void {
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -39,6 +39,8 @@
   readonly tasks = new Set<ScheduledTask>()
   /** Epoch milliseconds of the last report; 0 before the first under this term. */
   lastReportAt = 0
+  /** Epoch milliseconds by which the next report must have arrived; 0 after a failed call. Past it, the worker gets nothing new. */
+  reportDueAt = 0
   /** Lower bound on the worker's clock at `lastReportAt`. */
   private _workerClockAtReport = 0
   /** Latest lease deadline that may have reached the worker, on the worker's clock. */
--- a/src/scheduling/lease-renewal-task.ts
+++ b/src/scheduling/lease-renewal-task.ts
@@ -11,13 +11,17 @@
 import type { FleetSchedule } from './fleet-schedule.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { LeaseDurations } from './lease-durations.js'
+import type { OwnerPace } from './owner-pace.js'
 import type { WorkerReconciler } from './worker-reconciler.js'
 import type { WorkerError } from './worker-error.js'
 import type { WorkerTable } from './worker-table.js'
 
-/** Time for which a worker may delay its response until a run completes: a third of the shortest lease in use. */
+/** Time for which a worker with tasks may delay its response until a run completes: a third of the shortest lease in use. */
 const LONG_POLL_MILLISECONDS = 1_000
 
+/** The same for a worker without tasks, which has nothing to lose with its lease. */
+const IDLE_LONG_POLL_MILLISECONDS = 2_000
+
 /** Added to the long poll to form the deadline of a call. */
 const RESPONSE_MARGIN_MILLISECONDS = 600
 
@@ -41,7 +45,7 @@
   /** @param _onFenced called when the worker has seen a higher fencing token. */
   constructor (
     private readonly _worker: FleetWorker, private readonly _schedule: FleetSchedule, private readonly _workers: WorkerTable, private readonly _reconciler: WorkerReconciler, private readonly _writer: DecisionWriterTask,
-    private readonly _leaseDurations: LeaseDurations, private readonly _onFenced: (cause: string) => void,
+    private readonly _leaseDurations: LeaseDurations, private readonly _pace: OwnerPace, private readonly _onFenced: (cause: string) => void,
     private readonly _clock: Clock, random: RandomSource, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -57,7 +61,9 @@
     const { _worker: worker } = this
     while (!signal.aborted && (worker.isListed || worker.tasks.size > 0)) {
       const requestedAt = this._clock.now()
-      const longPollMilliseconds = worker.lastReportAt > 0 && worker.appliedSequence === worker.acknowledgedSequence ? LONG_POLL_MILLISECONDS : 0
+      const longPollMilliseconds = this._longPollMilliseconds()
+      const responseDeadline = requestedAt + longPollMilliseconds + RESPONSE_MARGIN_MILLISECONDS
+      worker.reportDueAt = responseDeadline
       const request = {
         leaseDeadline: this._mayRenewLease() ? worker.extendLeaseDeadline(requestedAt, this._leaseDurations.leaseMilliseconds) : null,
         // After a failed call another incarnation may respond, whose completions reuse the same sequence numbers.
@@ -66,7 +72,7 @@
       }
       const { client } = worker
       if (!client) return
-      const response = await client.renewLease(request, requestedAt + longPollMilliseconds + RESPONSE_MARGIN_MILLISECONDS, signal)
+      const response = await client.renewLease(request, responseDeadline, signal)
       if (signal.aborted) return
       if (response.isLeft()) {
         if (!await this._handleFailure(response.extract() as WorkerError, signal)) return
@@ -74,7 +80,7 @@
       }
       this._recordSuccess()
       this._reconciler.applyReport(worker, response.unsafeCoerce(), requestedAt)
-      await this._acknowledgeWhenWritten(signal)
+      if (worker.appliedSequence !== worker.acknowledgedSequence) await this._pauseAfterCompletions(signal)
     }
     this._workers.removeIfIdle(worker)
   }
@@ -88,11 +94,23 @@
     return this._consecutiveFailures === 0 && this._writer.isTermConfirmedWithin(this._leaseDurations.renewalGracePeriodMilliseconds)
   }
 
+  private _longPollMilliseconds (): number {
+    const { lastReportAt, appliedSequence, acknowledgedSequence, tasks } = this._worker
+    if (lastReportAt === 0 || appliedSequence !== acknowledgedSequence) return 0
+    return tasks.size === 0 ? IDLE_LONG_POLL_MILLISECONDS : LONG_POLL_MILLISECONDS
+  }
+
+  /** Waits until the completions may be acknowledged, and so long that the next report collects those of the meantime. */
+  private async _pauseAfterCompletions (signal: AbortSignal): Promise<void> {
+    const nextRenewalAt = this._clock.now() + this._pace.renewalIntervalMilliseconds
+    await this._acknowledgeWhenWritten(signal)
+    if (this._clock.now() < nextRenewalAt) await this._clock.sleepUntil(nextRenewalAt, signal).catch(() => {})
+  }
+
   /** Waits until the journal has the applied completions, so that the next renewal may acknowledge them. */
   private async _acknowledgeWhenWritten (signal: AbortSignal): Promise<void> {
     const { _worker: worker } = this
     const { appliedSequence, entry: { incarnation } } = worker
-    if (appliedSequence === worker.acknowledgedSequence) return
     const written = new Promise<void>(resolve => this._writer.whenWritten(() => {
       // A new incarnation numbers its completions from 1 again, and none of those has been applied.
       if (worker.entry.incarnation === incarnation) worker.acknowledgedSequence = Math.max(worker.acknowledgedSequence, appliedSequence)
@@ -111,6 +129,7 @@
     const { _worker: worker } = this
     this._metrics.count('workers.hold_failures', 1, error.kind)
     this._consecutiveFailures += 1
+    worker.reportDueAt = 0
     if (this._consecutiveFailures === FAILURES_UNTIL_UNREACHABLE) this._log.emit('worker unreachable', { worker: worker.entry.id, cause: error.message, heardAt: worker.lastReportAt, lapsesAt: worker.leaseExpiresAt })
     if (error.kind === 'fenced') {
       this._onFenced(`worker ${worker.entry.id}: ${error.message}`)
--- /dev/null
+++ b/src/scheduling/owner-pace.ts
@@ -0,0 +1,36 @@
+/**
+ * How often the owner repeats its work.
+ */
+import type { ProcessorLoad } from '../observability/processor-load.js'
+
+/** Utilization up to which the owner works at full pace; from there on, intervals grow in proportion. */
+const FULL_PACE_UTILIZATION = 0.6
+
+/** Time between the responses of one worker that reported completions, in milliseconds, at full pace and with no processor time left. */
+const RENEWAL_INTERVAL_MILLISECONDS = { least: 40, most: 240 } as const
+
+/** Time between two placement rounds, in milliseconds, at full pace and with no processor time left. */
+const ROUND_INTERVAL_MILLISECONDS = { least: 10, most: 80 } as const
+
+/**
+ * Makes an owner that is short of processor time do more with each call and each round, instead of doing everything late: each
+ * renewal of a lease then collects several completions, and each round places what has arrived meanwhile.
+ */
+export class OwnerPace {
+  constructor (private readonly _load: ProcessorLoad) {}
+
+  /** Least time from a worker's response with completions to the next renewal of its lease, in milliseconds. */
+  get renewalIntervalMilliseconds (): number {
+    return this._stretch(RENEWAL_INTERVAL_MILLISECONDS)
+  }
+
+  /** Least time between two placement rounds, in milliseconds. */
+  get roundIntervalMilliseconds (): number {
+    return this._stretch(ROUND_INTERVAL_MILLISECONDS)
+  }
+
+  private _stretch ({ least, most }: { readonly least: number, readonly most: number }): number {
+    const shortage = Math.min(1, Math.max(0, (this._load.utilization - FULL_PACE_UTILIZATION) / (1 - FULL_PACE_UTILIZATION)))
+    return least + (most - least) * shortage
+  }
+}
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -15,13 +15,11 @@
 import type { ScheduledJobTable } from './scheduled-job-table.js'
 import type { ScheduledStep } from './scheduled-step.js'
 import type { ScheduledTask } from './scheduled-task.js'
+import type { OwnerPace } from './owner-pace.js'
 import type { PlacementPolicy } from './placement-policy.js'
 import type { ResourceReservations } from './resource-reservations.js'
 import type { WorkerTable } from './worker-table.js'
 
-/** Tasks that become placeable within this time are placed in the same round. */
-const MINIMUM_ROUND_INTERVAL_MILLISECONDS = 10
-
 /** Bounds how late a round notices expired leases and due steps, which cause no notification. */
 const MAXIMUM_ROUND_INTERVAL_MILLISECONDS = 200
 
@@ -34,7 +32,7 @@
 
   /** @param _viewFreshAt returns the epoch milliseconds as of which the journal and the configuration are known. */
   constructor (
-    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask,
+    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _pace: OwnerPace,
     private readonly _viewFreshAt: () => number, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -46,7 +44,7 @@
       this._schedule.expireLeases()
       const changesBefore = this._schedule.changeCount
       if (this._viewFreshAt() > now - MAXIMUM_VIEW_AGE_MILLISECONDS) this._runRound(now)
-      await this._clock.sleepUntil(now + MINIMUM_ROUND_INTERVAL_MILLISECONDS, signal).catch(() => {})
+      await this._clock.sleepUntil(now + this._pace.roundIntervalMilliseconds, signal).catch(() => {})
       if (this._schedule.changeCount === changesBefore) await this._schedule.changed.wait(this._clock, now + MAXIMUM_ROUND_INTERVAL_MILLISECONDS, signal)
     }
   }
--- a/src/scheduling/scheduled-job.ts
+++ b/src/scheduling/scheduled-job.ts
@@ -8,6 +8,8 @@
 /** A job that the owner schedules, with all steps of all occurrences. */
 export class ScheduledJob {
   readonly steps: readonly ScheduledStep[]
+  /** Estimated duration of the longest chain of dependent steps that begins with each step of an occurrence, in milliseconds. */
+  private readonly _pathMilliseconds: readonly number[]
   /** Whether a cancellation was applied before the job had finished. */
   isCancelled = false
   hasFailed = false
@@ -17,6 +19,7 @@
     const { occurrences, steps } = view.submission
     this.steps = Array.from({ length: occurrences }, (_, occurrence) =>
       steps.map((definition, index) => new ScheduledStep(this, occurrence, index, definition))).flat()
+    this._pathMilliseconds = this._longestPaths()
     this.isCancelled = view.isCancelled
     this.hasFailed = this.steps.some(step => step.tasks.some(({ phase }) => phase === 'failed'))
   }
@@ -41,25 +44,25 @@
     return this.steps[occurrence * this.view.submission.steps.length + index] ?? null
   }
 
-  /** Returns the estimated duration of the longest chain of dependent steps that begins with the given step. */
+  /** Returns the estimated duration of the longest chain of dependent steps that begins with the given step, in milliseconds. */
   criticalPathMilliseconds (from: ScheduledStep): number {
+    return this._pathMilliseconds[from.index] ?? 0
+  }
+
+  /** Returns the epoch milliseconds by which an occurrence has to complete to meet the queue's latency target. */
+  targetCompletionAt (occurrence: number, queue: JobQueue): number {
+    const { submittedAt } = this.view.submission
+    const dueAt = this.step(occurrence, 0)?.dueAt ?? 0
+    return Math.max(submittedAt, dueAt) + queue.stretch * Math.max(0, ...this._pathMilliseconds) + queue.targetLatencyMilliseconds
+  }
+
+  private _longestPaths (): number[] {
     const { steps } = this.view.submission
     const paths = new Array<number>(steps.length).fill(0)
-    for (let index = steps.length - 1; index >= from.index; index--) {
+    for (let index = steps.length - 1; index >= 0; index--) {
       const successors = steps.flatMap(({ after }, laterIndex) => after.includes(index) ? [paths[laterIndex] ?? 0] : [])
       paths[index] = (steps[index]?.estimateMilliseconds ?? 0) + Math.max(0, ...successors)
     }
-    return paths[from.index] ?? 0
-  }
-
-  /** Returns the epoch milliseconds by which an occurrence has to complete to meet the queue's latency target. */
-  targetCompletionAt (occurrence: number, queue: JobQueue): number {
-    const { steps, submittedAt } = this.view.submission
-    const first = this.step(occurrence, 0)
-    const longestPath = Math.max(0, ...steps.map((_, index) => {
-      const step = this.step(occurrence, index)
-      return step ? this.criticalPathMilliseconds(step) : 0
-    }))
-    return Math.max(submittedAt, first?.dueAt ?? 0) + queue.stretch * longestPath + queue.targetLatencyMilliseconds
+    return paths
   }
 }
--- a/src/scheduling/worker-registry-follower-task.ts
+++ b/src/scheduling/worker-registry-follower-task.ts
@@ -39,7 +39,7 @@
     const listed = new Set(changes.flatMap(({ value }) => value.kind === 'listed' ? [value.entry.id] : []))
     const unlistAt = this.clock.now() + REGISTRATION_GRACE_PERIOD_MILLISECONDS
     for (const worker of this._workers.all) if (worker.isListed && !listed.has(worker.entry.id)) this._unlistAt.set(worker.entry.id, unlistAt)
-    for (const change of changes) this.apply(change)
+    for (const change of changes) this.applyOrSkip(change)
   }
 
   protected override apply ({ value }: FeedChange<WorkerChange>): void {
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -15,9 +15,6 @@
 /** Allows for orders of an earlier term that are still in flight. */
 const IN_FLIGHT_ORDER_MARGIN_MILLISECONDS = 500
 
-/** A worker that missed two lease renewals gets nothing new. */
-const MAXIMUM_REPORT_AGE_MILLISECONDS = 1_800
-
 /** Listed workers, and unlisted ones that may still run something. */
 export class WorkerTable {
   private readonly _workers = new Map<string, FleetWorker>()
@@ -60,7 +57,7 @@
   /** Returns whether new tasks may be placed on a worker now: it is schedulable, reachable, under a lease and not in cooldown. */
   isEligible (worker: FleetWorker, now: number): boolean {
     return this.isSchedulable(worker) && worker.cooldownUntil <= now && worker.leaseDeadline > 0 &&
-      worker.lastReportAt > worker.suspectedSince && worker.lastReportAt >= now - MAXIMUM_REPORT_AGE_MILLISECONDS
+      worker.lastReportAt > worker.suspectedSince && worker.reportDueAt >= now
   }
 
   /**
--- a/src/supervision/monotonic-clock.ts
+++ b/src/supervision/monotonic-clock.ts
@@ -31,7 +31,7 @@
       const timer = setTimeout(() => {
         signal?.removeEventListener('abort', onAbort)
         resolve()
-      }, Math.min(Math.max(deadline - this.now(), 0), MAXIMUM_TIMER_MILLISECONDS))
+      }, Math.min(Math.max(Math.ceil(deadline - this.now()), 0), MAXIMUM_TIMER_MILLISECONDS))
       signal?.addEventListener('abort', onAbort, { once: true })
     })
   }
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -52,6 +52,8 @@
   readonly workerIncarnations: EmulatedWorker[] = []
   /** Number of calls to workers. */
   workerCalls = 0
+  /** Number of reads from the store, by `CALLER TOPIC`. */
+  readonly storeReads = new Map<string, number>()
   /** Current incarnation of each worker, by address. */
   private readonly _workersByAddress = new Map<string, EmulatedWorker>()
   private readonly _listLimiter: RateLimiter
@@ -138,7 +140,9 @@
     const url = new URL(path, 'http://emulator')
     const call = url.pathname.slice(url.pathname.lastIndexOf('/') + 1)
     if (address === STORE_ADDRESS) {
-      const response = await this.faults.apply(request.caller, call, url.searchParams.get('topic') ?? '', () => this.store.handle(call, url.searchParams, body), this._clock)
+      const topic = url.searchParams.get('topic') ?? ''
+      if (call === 'log-read') this.storeReads.set(`${request.caller} ${topic}`, (this.storeReads.get(`${request.caller} ${topic}`) ?? 0) + 1)
+      const response = await this.faults.apply(request.caller, call, topic, () => this.store.handle(call, url.searchParams, body), this._clock)
       return response ? this._encode(response) : null
     }
     if (address === VIRTUAL_MACHINES_ADDRESS && !(call === 'machines' ? this._listLimiter : this._orderLimiter).tryAcquire()) return this._encode({ status: 429, body: {} })
--- a/tests/decision-writer-task.test.ts
+++ b/tests/decision-writer-task.test.ts
@@ -17,6 +17,7 @@
 /** A journal whose appends return the given results in order, and offset 0 after the last one. */
 class ScriptedJournal extends JobJournal {
   readonly sequences: number[] = []
+  override readonly sizeLimits = { record: Infinity, append: Infinity }
 
   constructor (private readonly _clock: FakeClock, private readonly _results: (FeedError | number)[]) {
     super()
@@ -26,7 +27,11 @@
     this.sequences.push(fence?.sequence ?? -1)
     await this._clock.sleepUntil(this._clock.now() + 10)
     const result = this._results.shift() ?? 0
-    return typeof result === 'number' ? Right(result) : Left(result)
+    return typeof result === 'number' ? Right({ first: result, next: result + 1 }) : Left(result)
+  }
+
+  override sizeOf (): number {
+    return 0
   }
 
   override async newest (): ReturnType<JobJournal['newest']> {
@@ -47,7 +52,7 @@
   const journal = new ScriptedJournal(clock, results)
   const metrics = new MemoryMetrics()
   const lossCauses: string[] = []
-  const writer = new DecisionWriterTask(journal, new JobTable(), 5, clock.now(), 'holder', cause => lossCauses.push(cause), clock, new SeededRandomSource(1), metrics)
+  const writer = new DecisionWriterTask(journal, { jobTable: new JobTable(), recordOwnAppend: () => {} }, 5, clock.now(), 'holder', cause => lossCauses.push(cause), clock, new SeededRandomSource(1), metrics)
   const root = new Supervisor('root', clock, new DecisionLogSupervisorObserver(new RecordingDecisionLog(), metrics))
   root.add(writer)
   root.run(new AbortController().signal).catch(() => {})
--- a/tests/platform-http-clients.test.ts
+++ b/tests/platform-http-clients.test.ts
@@ -1,6 +1,9 @@
 /**
  * Tests of the platform's HTTP clients, against the emulator on loopback.
  */
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import type { WorkerError } from '../src/scheduling/worker-error.js'
 import type { FeedError } from '../src/feeds/feed-error.js'
@@ -107,6 +110,22 @@
   expect((await control.move('m-9', 'work', 5, distantDeadline(), signal)).extract()).toMatchObject({ kind: 'missing' })
 })
 
+test('a call that is given up while it waits for a connection is known to be unsent, and the server never gets it', async () => {
+  const paths: string[] = []
+  const server = createServer(({ url }) => { paths.push(url ?? '') }).listen(0, '127.0.0.1')
+  cleanups.push(() => { server.closeAllConnections(); server.close() })
+  await once(server, 'listening')
+  const httpClient = new HttpClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, 1, clock)
+  const sent = httpClient.call({ method: 'POST', path: '/sent', body: {}, deadline: clock.now() + 500, signal })
+  const waiting = httpClient.call({ method: 'POST', path: '/waiting', body: {}, deadline: clock.now() + 100, signal })
+  expect((await waiting).extract()).toMatchObject({ kind: 'unsent' })
+  expect((await sent).extract()).toMatchObject({ kind: 'unknown' })
+  const afterwards = httpClient.call({ method: 'POST', path: '/afterwards', body: {}, deadline: clock.now() + 500, signal })
+  await afterwards
+  expect(paths).toEqual(['/sent', '/afterwards'])
+  await httpClient.close()
+})
+
 test('a call to an unserved address is known to be unsent, and one without a response has an unknown outcome', async () => {
   const unservedClient = new HttpClient('127.0.0.1:1', 1, clock)
   cleanups.push(() => { unservedClient.close().catch(() => {}) })
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -13,6 +13,7 @@
 import { FakeClock } from './fake-clock.js'
 import { PLAIN_STEP } from './plain-step.js'
 import { RecordingDecisionLog } from './recording-decision-log.js'
+import { ScriptedLoad } from './scripted-load.js'
 import { SuspendableClock } from './suspendable-clock.js'
 
 /** Host of the queue that tests use. */
@@ -27,6 +28,7 @@
   readonly log: RecordingDecisionLog
   readonly stop: AbortController
   readonly clock: SuspendableClock
+  readonly load: ScriptedLoad
   /** Resolves when the process has shut down. */
   completion: Promise<unknown>
 }
@@ -90,10 +92,11 @@
       }
     })
     const log = new RecordingDecisionLog()
+    const load = new ScriptedLoad()
     const clock = new SuspendableClock(this.clock)
-    const tree = new NodeTree(settings, new EmulatorDialer(this.emulator, name, clock), clock, new SeededRandomSource(this._seed + this.nodes.size), new MemoryMetrics(), log)
+    const tree = new NodeTree(settings, new EmulatorDialer(this.emulator, name, clock), clock, new SeededRandomSource(this._seed + this.nodes.size), new MemoryMetrics(), log, load)
     const stop = new AbortController()
-    const node = { tree, log, stop, clock, completion: tree.buildWithoutServers().run(stop.signal) }
+    const node = { tree, log, stop, clock, load, completion: tree.buildWithoutServers().run(stop.signal) }
     this.emulator.faults.killedCallers.delete(name)
     this.nodes.set(name, node)
     return node
