Order VMs for where a burst is going, as fast as the platform takes orders

Change: the forecast multiplies the arrivals of the last 0.5 s by three; late work counts in full, since it has to be done too; the order limit follows the platform's rate, which is a setting now.

--- a/src/capacity/pool-demand.ts
+++ b/src/capacity/pool-demand.ts
@@ -4,17 +4,16 @@
 import type { Resources } from '../jobs/resources.js'
 
 /** Window over which arrivals are counted, in milliseconds: shorter than a queue's burst of jobs, longer than the gap between two jobs of it. */
-const ARRIVAL_WINDOW_MILLISECONDS = 800
+const ARRIVAL_WINDOW_MILLISECONDS = 500
 
-/** Weight of work that can't finish in time any more: it is worth a fraction of timely work, but has to be done too. */
-const LATE_WORK_WEIGHT = 0.25
+/** Ratio of the rate of arrivals when a VM that is ordered now has joined the pool to the rate now, at the beginning of a burst. */
+const BURST_GROWTH_RATIO = 3
 
 /** A step's tasks that wait or run. */
 interface ActiveTasks {
   /** Resources that each task reserves on its worker. */
   readonly reservation: Resources
   readonly count: number
-  readonly isLate: boolean
   readonly isLasting: boolean
   /** Minimum number of workers for the step, from its limit on tasks per worker. */
   readonly minimumWorkers: number
@@ -32,8 +31,8 @@
   private _largestArrivedWork = 0
 
   /** Adds a step's tasks that wait or run. */
-  add ({ reservation, count, isLate, isLasting, minimumWorkers }: ActiveTasks): void {
-    this.currentMillicores += (isLate ? LATE_WORK_WEIGHT : 1) * count * reservation.millicores
+  add ({ reservation, count, isLasting, minimumWorkers }: ActiveTasks): void {
+    this.currentMillicores += count * reservation.millicores
     if (!isLasting) return
     this.lastingMillicores += count * reservation.millicores
     this.minimumLastingWorkers = Math.max(this.minimumLastingWorkers, minimumWorkers)
@@ -52,11 +51,12 @@
   }
 
   /**
-   * Processor demand if jobs continue to arrive at the current rate, in millicores. Moving a VM takes longer than running
-   * a task, so that demand has adapted to the rate by the time the VM arrives. The largest job is left out, because one job alone says nothing about the rate.
+   * Processor demand when a VM that is ordered now has joined the pool, in millicores. Moving a VM takes longer than running
+   * a task, and at the beginning of a burst the rate of arrivals still grows meanwhile; a VM too many costs far less than the work that would miss
+   * its target. The largest job is left out, because one job alone says nothing about the rate.
    */
   get forecastMillicores (): number {
-    return this.lastingMillicores + (this._arrivedWork - this._largestArrivedWork) / ARRIVAL_WINDOW_MILLISECONDS
+    return this.lastingMillicores + BURST_GROWTH_RATIO * (this._arrivedWork - this._largestArrivedWork) / ARRIVAL_WINDOW_MILLISECONDS
   }
 
   /** Processors that the pool should have, in millicores. */
--- a/src/capacity/pool-sizing-task.ts
+++ b/src/capacity/pool-sizing-task.ts
@@ -25,8 +25,8 @@
 /** Delay before an order that wasn't carried out, or not for certain, is sent again, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 500
 
-/** Limit on moves started in one round; the platform accepts a few tens of orders per second from all processes together. */
-const MAXIMUM_ORDERS_PER_ROUND = 8
+/** Fraction of the platform's order rate that moves may use; waves and repeated orders need the rest. */
+const ORDER_RATE_FRACTION = 0.75
 
 /** Allowance for lists that lag behind, in milliseconds: only a list requested this long after a move's duration proves that the VM has arrived. */
 const LIST_LAG_ALLOWANCE_MILLISECONDS = 300
@@ -54,14 +54,17 @@
   private readonly _moves = new Map<string, Move>()
   /** Moves that the platform can't carry out, as `VM POOL`. */
   private readonly _rejectedMoves = new Set<string>()
+  private readonly _maximumOrdersPerRound: number
 
+  /** @param ordersPerSecond order rate that the platform accepts from all processes together. */
   constructor (
     private readonly _configuration: ConfigurationFollowerTask, private readonly _poolStates: PoolStateCollector, private readonly _workers: WorkerTable, private readonly _policy: PoolSizingPolicy, private readonly _inventory: InventoryTask,
-    private readonly _control: FleetVirtualMachineControl, private readonly _locks: VirtualMachineLocks, private readonly _timings: FleetTimings, private readonly _term: number,
+    private readonly _control: FleetVirtualMachineControl, ordersPerSecond: number, private readonly _locks: VirtualMachineLocks, private readonly _timings: FleetTimings, private readonly _term: number,
     private readonly _onFenced: (cause: string) => void, private readonly _isViewCurrent: () => boolean,
     private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
+    this._maximumOrdersPerRound = Math.max(1, Math.floor(ordersPerSecond * ORDER_RATE_FRACTION * ROUND_INTERVAL_MILLISECONDS / 1_000))
   }
 
   override async run (signal: AbortSignal): Promise<void> {
@@ -91,7 +94,7 @@
     if (isAnyEmpty) for (const { name, size, isIdle } of pools) if (isIdle) surpluses.set(name, size)
     let orders = 0
     for (const [pool, count] of [...shortages].sort(([, left], [, right]) => right - left)) {
-      for (let missing = count; missing > 0 && orders < MAXIMUM_ORDERS_PER_ROUND; missing--) {
+      for (let missing = count; missing > 0 && orders < this._maximumOrdersPerRound; missing--) {
         if (!this._addVirtualMachine(pool, surpluses, now, signal)) break
         orders += 1
       }
@@ -99,7 +102,7 @@
     const standby = this._standbyPool()
     if (standby === null) return
     for (const [pool, count] of surpluses) {
-      for (let extra = count; extra > 0 && orders < MAXIMUM_ORDERS_PER_ROUND; extra--) {
+      for (let extra = count; extra > 0 && orders < this._maximumOrdersPerRound; extra--) {
         const candidate = this._emptyVirtualMachine(pool, standby)
         if (!candidate) break
         this._startMove(candidate, standby, now, signal)
--- a/src/capacity/pool-state-collector.ts
+++ b/src/capacity/pool-state-collector.ts
@@ -52,21 +52,20 @@
       if (pool === undefined) continue
       const demand = demands.get(pool) ?? new PoolDemand()
       demands.set(pool, demand)
-      for (const step of job.steps) if (!step.isDone && step.dueAt <= now && step.isUnblocked) this._addStep(demand, step, now)
+      for (const step of job.steps) if (!step.isDone && step.dueAt <= now && step.isUnblocked) this._addStep(demand, step)
       const { submittedAt, occurrences } = job.view.submission
       if (!job.isLasting && occurrences === 1) demand.addArrival(this._estimatedWork(job), now - submittedAt)
     }
     return demands
   }
 
-  private _addStep (demand: PoolDemand, step: ScheduledStep, now: number): void {
+  private _addStep (demand: PoolDemand, step: ScheduledStep): void {
     const { isLasting, maximumPerWorker, count } = step.definition
     const [task] = step.tasks
     if (!task) return
     demand.add({
       reservation: task.reservation,
       count: step.tasks.filter(({ phase }) => phase === 'waiting' || phase === 'placed').length,
-      isLate: this._isLate(step, now),
       isLasting,
       minimumWorkers: maximumPerWorker === 0 ? 1 : Math.ceil(count / maximumPerWorker)
     })
@@ -86,11 +85,4 @@
     const virtualMachines = [...this._inventory.virtualMachines]
     return (virtualMachines.find(virtualMachine => virtualMachine.pool === pool) ?? virtualMachines[0])?.capacity.millicores ?? 1
   }
-
-  /** Whether the step's occurrence can't finish in time any more. */
-  private _isLate (step: ScheduledStep, now: number): boolean {
-    const queue = this._configuration.queue(step.job.view.submission.queue)
-    if (!queue || step.definition.isLasting) return false
-    return step.job.targetCompletionAt(step.occurrence, queue) - step.job.criticalPathMilliseconds(step) < now
-  }
 }
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -150,7 +150,7 @@
       inventory,
       new PoolSizingTask(
         configuration, new PoolStateCollector(configuration, scheduledJobs, workerTable, inventory, new PoolCapacity(workerTable, inventory)), workerTable, new DemandPoolSizingPolicy(),
-        inventory, control, locks, timings, term, onLost, isViewCurrent, clock, this._metrics, log
+        inventory, control, this._settings().platform.ordersPerSecond, locks, timings, term, onLost, isViewCurrent, clock, this._metrics, log
       ),
       new WaveTask(configuration, jobTable, workerTable, writer, inventory, control, statusPublisher, locks, timings, term, onLost, isTakeoverDone, clock, log)
     ]
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -10,6 +10,9 @@
 /** A nonnegative quantity of the VM; empty or 0 if the platform doesn't provide it. */
 const OptionalQuantity = z.coerce.number().min(0).default(0)
 
+/** Order rate assumed if the platform doesn't state one. */
+const DEFAULT_ORDERS_PER_SECOND = 64
+
 /** The settings file of a node daemon, which the platform generates from `deploy/node-settings.toml`. */
 export const NodeSettings = z.object({
   process: z.object({
@@ -30,6 +33,8 @@
     store: Ipv4SocketAddress,
     /** Address of the service that controls VMs; empty if there is none. */
     machines: z.union([z.literal(''), Ipv4SocketAddress]),
+    /** Orders to VMs that this service accepts per second from all processes together. */
+    ordersPerSecond: z.coerce.number().min(0).default(0).transform(rate => rate || DEFAULT_ORDERS_PER_SECOND),
     /** Address of the advice service; empty if there is none. */
     advice: z.union([z.literal(''), Ipv4SocketAddress])
   }),
--- a/tests/waves-and-pool-sizing.test.ts
+++ b/tests/waves-and-pool-sizing.test.ts
@@ -48,6 +48,35 @@
   expect(fleet.violations()).toEqual([])
 })
 
+test('in a burst that grows for two seconds, jobs with rough estimates meet their target once VMs that were ordered at its beginning have joined the pool', async () => {
+  const fleet = new EmulatedFleet(3)
+  fleet.emulator.addVirtualMachine('work', 'a')
+  for (let count = 0; count < 45; count++) fleet.emulator.addVirtualMachine('standby', 'a')
+  fleet.configure()
+  fleet.start('one')
+  await fleet.clock.advance(2_000)
+  const burstAt = fleet.clock.now()
+  const submittedAt = new Map<string, number>()
+  // Each job needs six times 10 cores for a second, twice what its caller estimates; the burst grows from 2 to 30 jobs per second, which need 30 VMs.
+  for (let nextAt = burstAt; nextAt < burstAt + 8_000;) {
+    const id = submittedAt.size.toString(16).padStart(4, 'f')
+    submittedAt.set(id, fleet.clock.now())
+    fleet.submit('one', id, [{ count: 6, demand: { millicores: 10_000, memoryMegabytes: 100, accelerators: 0 }, estimateMilliseconds: 500 }]).catch(() => {})
+    nextAt += 1_000 / (2 + 28 * Math.min(1, (nextAt - burstAt) / 2_000))
+    await fleet.clock.advance(Math.max(1, nextAt - fleet.clock.now()))
+  }
+  await fleet.clock.advance(20_000)
+  // VMs ordered within the first half second have joined the pool after another 1.5 s.
+  const judged = [...submittedAt].filter(([, at]) => at >= burstAt + 2_000)
+  const late = judged.filter(([id, at]) => {
+    const lastStartAt = Math.max(...Array.from({ length: 6 }, (_, index) => fleet.starts(`${id}.0.0.${index}`)[0]?.at ?? Infinity))
+    // Target: 1.6 times the duration of the work plus 600 ms, as the queue is configured.
+    return lastStartAt + 1_000 > at + 1.6 * 1_000 + 600
+  })
+  expect(judged.length).toBeGreaterThan(100)
+  expect(late).toEqual([])
+})
+
 test('a new owner orders no maintenance before it knows what runs on the VM', async () => {
   const fleet = new EmulatedFleet(1)
   for (let count = 0; count < 2; count++) fleet.emulator.addVirtualMachine('work', 'a')
