Send no order to a VM under a term that may be over

An owner that is held up between the two (seconds of suspension, or a frozen VM) sent it when it went on, although another process had claimed the next term and ordered the same VM meanwhile. Workers refuse orders of an earlier term; on deployments that don't check the tokens of VM orders nothing did. An order that is skipped is recorded anew and sent later. Starts need no such check: they carry a lease deadline that the successor waits out, and the token.

--- a/src/capacity/pool-sizing-task.ts
+++ b/src/capacity/pool-sizing-task.ts
@@ -175,7 +175,7 @@
     if (move.isInFlight || now < move.sentAt + RETRY_DELAY_MILLISECONDS) return
     move.isInFlight = true
     move.sentAt = now
-    this._locks.recordOrder(move.virtualMachine, () => this._send(move, signal))
+    this._locks.recordOrder(move.virtualMachine, () => this._send(move, signal), () => { move.isInFlight = false })
   }
 
   private _send (move: Move, signal: AbortSignal): void {
--- a/src/capacity/virtual-machine-locks.ts
+++ b/src/capacity/virtual-machine-locks.ts
@@ -11,6 +11,9 @@
 /** Margin on top of the minimum time between orders of two owners, in milliseconds: clocks differ, and an earlier order may still have been in flight. */
 const HOLDER_CHANGE_MARGIN_MILLISECONDS = 700
 
+/** Age of the store's last confirmation of the term up to which orders are sent, in milliseconds; below the silence after which another process claims the next term. */
+const MAXIMUM_CONFIRMATION_AGE_MILLISECONDS = 1_000
+
 /**
  * Locks on VMs, kept for one term. Within the term, a VM is locked by either a wave or a move. Across terms, a VM gets
  * no orders for some time after the newest order of another owner, so every order is written to the journal before it is sent.
@@ -49,8 +52,14 @@
     return this._clock.now() > order.orderedAt + this._holderChangeMilliseconds + HOLDER_CHANGE_MARGIN_MILLISECONDS
   }
 
-  /** Writes an order to the journal, then calls `send`. */
-  recordOrder (virtualMachine: string, send: () => void): void {
-    this._writer.append({ kind: 'order', virtualMachine, term: this._term, at: this._clock.now() }, send)
+  /**
+   * Writes an order to the journal, then calls `send`, or `skip` if the process was held up so long meanwhile that another may own the journal
+   * by now: not every platform refuses orders of an earlier term.
+   */
+  recordOrder (virtualMachine: string, send: () => void, skip: () => void): void {
+    this._writer.append({ kind: 'order', virtualMachine, term: this._term, at: this._clock.now() }, () => {
+      if (this._writer.isTermConfirmedWithin(MAXIMUM_CONFIRMATION_AGE_MILLISECONDS)) send()
+      else skip()
+    })
   }
 }
--- a/src/capacity/wave-task.ts
+++ b/src/capacity/wave-task.ts
@@ -115,7 +115,7 @@
     if (!this._locks.isOrderAllowed(id)) return
     order.isInFlight = true
     order.sentAt = now
-    this._locks.recordOrder(id, () => this._send(wave, id, order, signal))
+    this._locks.recordOrder(id, () => this._send(wave, id, order, signal), () => { order.isInFlight = false })
   }
 
   private _send (wave: Wave, id: string, order: MaintenanceOrder, signal: AbortSignal): void {
--- a/stand-ins/emulator/emulated-virtual-machines.ts
+++ b/stand-ins/emulator/emulated-virtual-machines.ts
@@ -32,8 +32,12 @@
  */
 export class EmulatedVirtualMachines {
   readonly byId = new Map<string, EmulatedVirtualMachine>()
+  /** Whether an order with a lower fencing token than an earlier one is refused; some platforms don't check. */
+  checksFences = true
   /** Orders that were executed. */
   readonly orders: VirtualMachineOrder[] = []
+  /** All orders that arrived, including refused ones and those that had no further effect. */
+  readonly arrivedOrders: VirtualMachineOrder[] = []
 
   /**
    * @param _stopWorker shuts down the worker on a VM.
@@ -56,12 +60,14 @@
   order (call: 'machine-move' | 'machine-upkeep', body: { machine: string, pool?: string, wave?: number }, holder: string, token: number): { status: number, body: object } {
     const virtualMachine = this.byId.get(body.machine)
     if (!virtualMachine) return { status: 400, body: {} }
-    if (token < virtualMachine.highestToken) return { status: 409, body: { reason: 'fence' } }
-    virtualMachine.highestToken = token
+    const order = { virtualMachine: virtualMachine.id, holder, token, executedAt: this._clock.now() }
+    this.arrivedOrders.push(order)
+    if (this.checksFences && token < virtualMachine.highestToken) return { status: 409, body: { reason: 'fence' } }
+    virtualMachine.highestToken = Math.max(virtualMachine.highestToken, token)
     const isDone = call === 'machine-move' ? virtualMachine.pool === body.pool : virtualMachine.completedWaves.has(body.wave ?? 0)
     if (isDone) return { status: 200, body: {} }
     if (virtualMachine.state !== 'up') return { status: 409, body: { reason: 'busy' } }
-    this.orders.push({ virtualMachine: virtualMachine.id, holder, token, executedAt: this._clock.now() })
+    this.orders.push(order)
     this._stopWorker(virtualMachine)
     virtualMachine.worker = ''
     if (call === 'machine-move') virtualMachine.pool = body.pool ?? virtualMachine.pool
--- a/stand-ins/emulator/emulator-dialer.ts
+++ b/stand-ins/emulator/emulator-dialer.ts
@@ -10,7 +10,7 @@
 
 /** Client that calls the emulator directly and measures deadlines on the given clock. */
 class EmulatorClient extends CallClient {
-  constructor (private readonly _emulator: PlatformEmulator, private readonly _caller: string, private readonly _address: string, private readonly _clock: Clock) {
+  constructor (private readonly _emulator: PlatformEmulator, private readonly _caller: string, private readonly _address: string, private readonly _clock: Clock, private readonly _untilRunning: () => Promise<void>) {
     super()
   }
 
@@ -20,6 +20,7 @@
     const expired = this._clock.sleepUntil(deadline, signal).then(() => null, () => null)
     // The emulator returns null for a call without a response; the caller then waits until its deadline.
     const response = await Promise.race([responded.then(result => result ?? expired), expired])
+    await this._untilRunning()
     return response ? Right(response) : Left(new CallError('unknown', 'no response'))
   }
 
@@ -28,12 +29,17 @@
 
 /** Dials the emulator on behalf of one process. */
 export class EmulatorDialer extends Dialer {
-  /** @param _caller name of the process; faults can apply to single callers. */
-  constructor (private readonly _emulator: PlatformEmulator, private readonly _caller: string, private readonly _clock: Clock) {
+  /**
+   * @param _caller name of the process; faults can apply to single callers.
+   * @param _untilRunning resolves when the process isn't suspended: until then it receives no response.
+   */
+  constructor (
+    private readonly _emulator: PlatformEmulator, private readonly _caller: string, private readonly _clock: Clock, private readonly _untilRunning: () => Promise<void> = async () => {}
+  ) {
     super()
   }
 
   override dial (address: string): CallClient {
-    return new EmulatorClient(this._emulator, this._caller, address, this._clock)
+    return new EmulatorClient(this._emulator, this._caller, address, this._clock, this._untilRunning)
   }
 }
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -29,6 +29,8 @@
   private readonly _linksBusyUntil = new Map<string, number>()
   /** Extra latency of appends, in milliseconds, by topic. */
   readonly appendDelays = new Map<string, number>()
+  /** Latency of the responses to appends, which have been executed by then, in milliseconds. */
+  appendResponseMilliseconds = 0
   /** Number of appends, from the next one on, that are executed without a response. */
   lostAppendResponses = 0
   /** Latency of a start on a worker, in milliseconds. */
@@ -62,6 +64,7 @@
     await clock.sleepUntil(clock.now() + this.storeLatencyMilliseconds + (delays?.get(topic) ?? 0))
     const response = await serve()
     await this._transmit(caller, response, clock)
+    if (call === 'log-append' && this.appendResponseMilliseconds > 0) await clock.sleepUntil(clock.now() + this.appendResponseMilliseconds)
     if (call === 'log-append' && this.lostAppendResponses > 0) {
       this.lostAppendResponses -= 1
       return null
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -94,7 +94,7 @@
     const log = new RecordingDecisionLog()
     const load = new ScriptedLoad()
     const clock = new SuspendableClock(this.clock)
-    const tree = new NodeTree(settings, new EmulatorDialer(this.emulator, name, clock), clock, new SeededRandomSource(this._seed + this.nodes.size), new MemoryMetrics(), log, load)
+    const tree = new NodeTree(settings, new EmulatorDialer(this.emulator, name, clock, () => clock.untilRunning()), clock, new SeededRandomSource(this._seed + this.nodes.size), new MemoryMetrics(), log, load)
     const stop = new AbortController()
     const node = { tree, log, stop, clock, load, completion: tree.buildWithoutServers().run(stop.signal) }
     this.emulator.faults.killedCallers.delete(name)
--- a/tests/support/suspendable-clock.ts
+++ b/tests/support/suspendable-clock.ts
@@ -24,10 +24,15 @@
   override async sleepUntil (deadline: number, signal?: AbortSignal): Promise<void> {
     do {
       await this._clock.sleepUntil(deadline + this._suspendedMilliseconds, signal)
-      while (this._suspendedAt !== null) await new Promise<void>(resolve => this._waiters.push(resolve))
+      await this.untilRunning()
     } while (this.now() < deadline)
   }
 
+  /** Resolves when the VM isn't suspended. */
+  async untilRunning (): Promise<void> {
+    while (this._suspendedAt !== null) await new Promise<void>(resolve => this._waiters.push(resolve))
+  }
+
   /** Suspends the VM; waiters don't wake until `resume`. */
   suspend (): void {
     this._suspendedAt = this._clock.now()
--- a/tests/waves-and-pool-sizing.test.ts
+++ b/tests/waves-and-pool-sizing.test.ts
@@ -123,3 +123,30 @@
   }
   expect(orders.length).toBeGreaterThanOrEqual(3)
 })
+
+test.each([0, 20, 60])('an owner that was suspended %i ms after its order to a VM was recorded does not send it once its term is over', async delay => {
+  const fleet = new EmulatedFleet(4)
+  fleet.emulator.virtualMachines.checksFences = false
+  for (let count = 0; count < 3; count++) fleet.emulator.addVirtualMachine('work', 'a')
+  fleet.configure({ hasStandby: false })
+  for (const name of ['one', 'two', 'three']) fleet.start(name)
+  await fleet.clock.advance(2_000)
+  const owner = fleet.owner()
+  fleet.emulator.publish('wave/1', { wave: 1, machines: ['m-0', 'm-1', 'm-2'], duration_s: 60, max_count: 1 })
+  fleet.emulator.faults.appendResponseMilliseconds = 50
+  const decisions = fleet.emulator.store.partition('keyed.decisions')
+  while (!decisions.newestRecords().some(({ key }) => key.startsWith('order/'))) await fleet.clock.advance(1)
+  await fleet.clock.advance(delay)
+  fleet.nodes.get(owner)?.clock.suspend()
+  fleet.emulator.faults.appendResponseMilliseconds = 0
+  await fleet.clock.advance(8_000)
+  fleet.nodes.get(owner)?.clock.resume()
+  await fleet.clock.advance(30_000)
+  const { orders, arrivedOrders } = fleet.emulator.virtualMachines
+  expect(new Set(orders.map(({ virtualMachine }) => virtualMachine)).size).toBe(3)
+  for (const [index, order] of arrivedOrders.entries()) {
+    const earlier = arrivedOrders.slice(0, index).filter(({ virtualMachine }) => virtualMachine === order.virtualMachine)
+    expect(earlier.filter(({ token }) => token > order.token)).toEqual([])
+    expect(earlier.filter(({ holder, executedAt }) => holder !== order.holder && executedAt > order.executedAt - 3_000)).toEqual([])
+  }
+})
