Exchange times in fleet time, whatever the wall clocks say

Cause: a process's steady clock takes its origin from the wall clock at its start. One that started during a jump of the time of day was off for life in what it wrote for others: submission times (jobs late or early for the owner, and outside the window of the forecast), due times, times of orders to VMs. Due times are converted by the median difference between time of day and steady clock over half a minute, so that a jump there and back moves nothing. Whether a VM may get orders from a new owner follows from the predecessor's last contact on the own steady clock, or from an order too old for any jump.

--- a/src/capacity/pool-state-collector.ts
+++ b/src/capacity/pool-state-collector.ts
@@ -53,8 +53,7 @@
       const demand = demands.get(pool) ?? new PoolDemand()
       demands.set(pool, demand)
       for (const step of job.steps) if (!step.isDone && step.dueAt <= now && step.isUnblocked) this._addStep(demand, step)
-      const { submittedAt, occurrences } = job.view.submission
-      if (!job.isLasting && occurrences === 1) demand.addArrival(this._estimatedWork(job), now - submittedAt)
+      if (!job.isLasting && job.view.submission.occurrences === 1) demand.addArrival(this._estimatedWork(job), now - job.submittedAt)
     }
     return demands
   }
--- a/src/capacity/virtual-machine-locks.ts
+++ b/src/capacity/virtual-machine-locks.ts
@@ -1,6 +1,7 @@
 /**
  * Decides which work may send orders to a VM, and when.
  */
+import type { FleetTime } from '../jobs/fleet-time.js'
 import type { JobTable } from '../jobs/job-table.js'
 import type { DecisionWriterTask } from '../scheduling/decision-writer-task.js'
 import type { Clock } from '../supervision/clock.js'
@@ -11,6 +12,9 @@
 /** Margin on top of the minimum time between orders of two owners, in milliseconds: clocks differ, and an earlier order may still have been in flight. */
 const HOLDER_CHANGE_MARGIN_MILLISECONDS = 700
 
+/** Jumps of the time of day that are expected, in milliseconds: when all processes have restarted, fleet time continues from a wall clock. */
+const MAXIMUM_CLOCK_JUMP_MILLISECONDS = 5_000
+
 /** Age of the store's last confirmation of the term up to which orders are sent, in milliseconds; below the silence after which another process claims the next term. */
 const MAXIMUM_CONFIRMATION_AGE_MILLISECONDS = 1_000
 
@@ -21,10 +25,13 @@
 export class VirtualMachineLocks {
   private readonly _holders = new Map<string, LockHolder>()
 
-  /** @param _holderChangeMilliseconds minimum time between orders of two owners to one VM. */
+  /**
+   * @param _predecessorLastContactAt epoch milliseconds before which the previous owner wrote its last record.
+   * @param _holderChangeMilliseconds minimum time between orders of two owners to one VM.
+   */
   constructor (
-    private readonly _jobTable: JobTable, private readonly _writer: DecisionWriterTask, private readonly _term: number,
-    private readonly _holderChangeMilliseconds: number, private readonly _clock: Clock
+    private readonly _jobTable: JobTable, private readonly _writer: DecisionWriterTask, private readonly _term: number, private readonly _predecessorLastContactAt: number,
+    private readonly _holderChangeMilliseconds: number, private readonly _fleetTime: FleetTime, private readonly _clock: Clock
   ) {}
 
   /** Returns the holder of a VM's lock, or null. */
@@ -49,7 +56,9 @@
   isOrderAllowed (virtualMachine: string): boolean {
     const order = this._jobTable.newestOrder(virtualMachine)
     if (!order || order.term === this._term) return true
-    return this._clock.now() > order.orderedAt + this._holderChangeMilliseconds + HOLDER_CHANGE_MARGIN_MILLISECONDS
+    const gap = this._holderChangeMilliseconds + HOLDER_CHANGE_MARGIN_MILLISECONDS
+    // Either proof is enough: on this process's own clock, or by the time that the order carries, if it is so old that no jump of a clock accounts for it.
+    return this._clock.now() > this._predecessorLastContactAt + gap || this._fleetTime.now() > order.orderedAt + gap + MAXIMUM_CLOCK_JUMP_MILLISECONDS
   }
 
   /**
@@ -57,7 +66,7 @@
    * by now: not every platform refuses orders of an earlier term.
    */
   recordOrder (virtualMachine: string, send: () => void, skip: () => void): void {
-    this._writer.append({ kind: 'order', virtualMachine, term: this._term, at: this._clock.now() }, () => {
+    this._writer.append({ kind: 'order', virtualMachine, term: this._term, at: this._fleetTime.now() }, () => {
       if (this._writer.isTermConfirmedWithin(MAXIMUM_CONFIRMATION_AGE_MILLISECONDS)) send()
       else skip()
     })
--- /dev/null
+++ b/src/jobs/fleet-time.ts
@@ -0,0 +1,66 @@
+/**
+ * Time that the processes of a fleet share, although their wall clocks differ and jump.
+ */
+import type { Clock } from '../supervision/clock.js'
+
+/** How long an observation of another process's time counts, in milliseconds; clocks drift apart by a few milliseconds meanwhile. */
+const OBSERVATION_LIFETIME_MILLISECONDS = 20_000
+
+/** Time between two comparisons with the time of day, in milliseconds, and how many of them count. */
+const COMPARISON_INTERVAL_MILLISECONDS = 500
+const MAXIMUM_COMPARISONS = 60
+
+/**
+ * The steady clock of the owner of the journal, continued by each owner after it. Times that processes exchange are in fleet time, so that a
+ * process whose wall clock was wrong when it started neither makes jobs late nor early. Only the first owner's wall clock sets its origin, and
+ * nothing depends on that origin: times of day are converted by their distance to the present.
+ */
+export class FleetTime {
+  private _offset = 0
+  private _observations: { readonly offset: number, readonly at: number }[] = []
+  /** Differences between the time of day and the steady clock, newest last. */
+  private _comparisons: number[] = []
+  private _comparedAt = -Infinity
+
+  constructor (private readonly _clock: Clock) {}
+
+  /** Fleet time, in milliseconds. */
+  now (): number {
+    return this.fromLocal(this._clock.now())
+  }
+
+  /** Converts a time on this process's clock. */
+  fromLocal (time: number): number {
+    return time + this._offset
+  }
+
+  /** Converts a fleet time to this process's clock. */
+  toLocal (time: number): number {
+    return time - this._offset
+  }
+
+  /**
+   * Converts a time of day, such as the due time of a job. The difference to the steady clock is the median of the last half minute, so that a jump
+   * of the wall clock, there and back, moves nothing.
+   */
+  fromTimeOfDay (timeOfDay: number): number {
+    this.compareWithTimeOfDay()
+    const sorted = [...this._comparisons].sort((left, right) => left - right)
+    return this.fromLocal(timeOfDay - (sorted[Math.floor(sorted.length / 2)] ?? 0))
+  }
+
+  /** Compares the time of day with the steady clock; called often, it does so twice a second. */
+  compareWithTimeOfDay (): void {
+    const now = this._clock.now()
+    if (now < this._comparedAt + COMPARISON_INTERVAL_MILLISECONDS) return
+    this._comparedAt = now
+    this._comparisons = [...this._comparisons.slice(1 - MAXIMUM_COMPARISONS), this._clock.timeOfDay() - now]
+  }
+
+  /** Records the fleet time that a record just read was written at. The record that was least delayed since then is the most accurate. */
+  observe (writtenAt: number): void {
+    const now = this._clock.now()
+    this._observations = [...this._observations.filter(({ at }) => at > now - OBSERVATION_LIFETIME_MILLISECONDS), { offset: writtenAt - now, at: now }]
+    this._offset = Math.max(...this._observations.map(({ offset }) => offset))
+  }
+}
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from '../observability/metrics.js'
 import type { Clock } from '../supervision/clock.js'
 import { NEVER_ABORTED } from '../supervision/never-aborted.js'
+import type { FleetTime } from './fleet-time.js'
 import type { JobResponse } from './job-response.js'
 import type { JobRequest } from './job-request.js'
 import type { JobJournal } from './job-journal.js'
@@ -33,7 +34,7 @@
 export class JobService {
   constructor (
     private readonly _configuration: ConfigurationFollowerTask, private readonly _submissionJournal: JobJournal, private readonly _submissions: JournalFollowerTask, private readonly _decisions: JournalFollowerTask, private readonly _writer: SubmissionWriterTask,
-    private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
+    private readonly _fleetTime: FleetTime, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {}
 
   /** Accepts a job; responds when the journal has the submission. */
@@ -43,11 +44,13 @@
     if (this._jobTable.state(id)) return this._respond('submit', id, { kind: 'accepted' })
     if (!this._isViewCurrent) return this._respond('submit', id, this._retryLater('not-run'))
     const team = this._configuration.teamOfKey(request.key)?.name ?? ''
-    const submission = { ...job, id, queue: queue.name, team, submittedAt: this._clock.now() }
+    const receivedAt = this._clock.now()
+    const startAt = job.startAt === 0 ? 0 : this._fleetTime.fromTimeOfDay(job.startAt)
+    const submission = { ...job, id, queue: queue.name, team, startAt, submittedAt: this._fleetTime.fromLocal(receivedAt) }
     const record = { kind: 'submission', submission } as const
     if (this._submissionJournal.sizeOf(record) > this._submissionJournal.sizeLimits.record) return this._respond('submit', id, { kind: 'too-large' })
     const result = await this._writer.write(record, request.deadline - RESPONSE_MARGIN_MILLISECONDS)
-    this._metrics.timing('jobs.submit.milliseconds', this._clock.now() - submission.submittedAt)
+    this._metrics.timing('jobs.submit.milliseconds', this._clock.now() - receivedAt)
     return this._respond('submit', id, this._writeResponse(result, { kind: 'accepted' }))
   }
 
--- a/src/jobs/job-submission.ts
+++ b/src/jobs/job-submission.ts
@@ -15,11 +15,11 @@
   specification: z.string(),
   steps: z.array(StepDefinition).min(1),
   occurrences: z.number().int().min(1).max(1_000),
-  /** Epoch milliseconds at which occurrence 0 is due; 0 for immediately. */
+  /** Fleet time at which occurrence 0 is due; 0 for immediately. */
   startAt: z.number().min(0),
   /** Time between the due times of two consecutive occurrences, in milliseconds. */
   intervalMilliseconds: z.number().min(0),
-  /** Epoch milliseconds at which the entry process accepted it. */
+  /** Fleet time at which the entry process accepted it. */
   submittedAt: z.number()
 })
 export type JobSubmission = z.infer<typeof JobSubmission>
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -15,7 +15,7 @@
   readonly number: number
   readonly holder: string
   readonly isReleased: boolean
-  /** Epoch milliseconds of the newest claim, renewal or release, on its writer's clock. */
+  /** Fleet time of the newest claim, renewal or release. */
   readonly renewedAt: number
 }
 
@@ -68,7 +68,7 @@
     return this._waves.get(number) ?? null
   }
 
-  /** Returns the term and time (epoch milliseconds) of the newest order to a VM, or null if there was none. */
+  /** Returns the term and fleet time of the newest order to a VM, or null if there was none. */
   newestOrder (virtualMachine: string): { readonly term: number, readonly orderedAt: number } | null {
     return this._orders.get(virtualMachine) ?? null
   }
--- a/src/jobs/journal-follower-task.ts
+++ b/src/jobs/journal-follower-task.ts
@@ -4,6 +4,7 @@
 import { FeedFollowerTask } from '../feeds/feed-follower-task.js'
 import type { FeedChange } from '../feeds/feed-change.js'
 import type { AppendedRange } from './appended-range.js'
+import type { FleetTime } from './fleet-time.js'
 import type { JobTable } from './job-table.js'
 import type { JournalRecord } from './journal-record.js'
 
@@ -26,12 +27,14 @@
 export class JournalFollowerTask extends FeedFollowerTask<JournalRecord> {
   private _ownerLastContactAt = 0
   private _ownAppendAt = -Infinity
+  private _isReloading = false
 
   /**
    * @param name name of the topic in logs and metrics.
    * @param jobTable table that the records of both topics are applied to.
+   * @param _fleetTime learns the time of owners from their records.
    */
-  constructor (override readonly name: 'decisions' | 'submissions', readonly jobTable: JobTable, ...rest: ConstructorParameters<typeof FeedFollowerTask<JournalRecord>>) {
+  constructor (override readonly name: 'decisions' | 'submissions', readonly jobTable: JobTable, private readonly _fleetTime: FleetTime, ...rest: ConstructorParameters<typeof FeedFollowerTask<JournalRecord>>) {
     super(...rest)
   }
 
@@ -56,7 +59,9 @@
   protected override reload (changes: ReadonlyArray<FeedChange<JournalRecord>>): void {
     // Outcomes are applied first, because a late copy of a finished job's submission may follow its outcome. Submissions are applied before their progress.
     const ordered = changes.toSorted((left, right) => this._replayOrder(left) - this._replayOrder(right))
+    this._isReloading = true
     for (const change of ordered) this.applyOrSkip(change)
+    this._isReloading = false
   }
 
   private _replayOrder ({ value }: FeedChange<JournalRecord>): number {
@@ -65,6 +70,9 @@
 
   protected override apply ({ value, offset }: FeedChange<JournalRecord>): void {
     const { ownerRecordCount } = this.jobTable
+    // A record that is loaded may be old.
+    if (value.kind === 'term' && !this._isReloading) this._fleetTime.observe(value.at)
+    this._fleetTime.compareWithTimeOfDay()
     this.jobTable.apply(value, offset)
     if (this.jobTable.ownerRecordCount !== ownerRecordCount) this._ownerLastContactAt = this.clock.now()
   }
--- a/src/jobs/journal-record.ts
+++ b/src/jobs/journal-record.ts
@@ -24,10 +24,10 @@
   }),
   /** Removes the job's outcome, which has been kept for as long as promised. */
   z.object({ kind: z.literal('retirement'), job: z.string() }),
-  /** A claim, a renewal or a release of ownership; `at` is in epoch milliseconds on the writer's clock. */
+  /** A claim, a renewal or a release of ownership; `at` is in fleet time. */
   z.object({ kind: z.literal('term'), term: z.number().int(), holder: z.string(), isReleased: z.boolean(), at: z.number() }),
   z.object({ kind: z.literal('wave'), progress: WaveProgress }),
-  /** An order is about to be sent to a VM; the owner of another term sends it none until some time after `at` (epoch milliseconds). */
+  /** An order is about to be sent to a VM; the owner of another term sends it none until some time after `at` (fleet time). */
   z.object({ kind: z.literal('order'), virtualMachine: z.string(), term: z.number().int(), at: z.number() })
 ])
 export type JournalRecord = z.infer<typeof JournalRecord>
--- a/src/main/node-tree.ts
+++ b/src/main/node-tree.ts
@@ -2,6 +2,7 @@
  * Composition root of the node daemon.
  */
 import { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
+import { FleetTime } from '../jobs/fleet-time.js'
 import { JobTable } from '../jobs/job-table.js'
 import { JobService } from '../jobs/job-service.js'
 import { JournalFollowerTask } from '../jobs/journal-follower-task.js'
@@ -69,6 +70,7 @@
   private readonly _decisionJournal: TopicJournal
   private readonly _submissionJournal: TopicJournal
   private readonly _submissionWriter: SubmissionWriterTask
+  private readonly _fleetTime: FleetTime
 
   constructor (
     private _settings: NodeSettings, private readonly _dialer: Dialer, private readonly _clock: Clock, private readonly _random: RandomSource,
@@ -82,10 +84,11 @@
     const operatorFeed = new TopicFeed(new KeyedTopic(this._storeClient, OPERATOR_TOPIC, _clock), record => OperatorCodec.decode(record))
     this.configuration = new ConfigurationFollowerTask(operatorFeed, _clock, _random, _metrics, _log)
     const jobTable = new JobTable()
-    this.decisions = new JournalFollowerTask('decisions', jobTable, this._decisionJournal, _clock, _random, _metrics, _log)
-    this.submissions = new JournalFollowerTask('submissions', jobTable, this._submissionJournal, _clock, _random, _metrics, _log)
+    this._fleetTime = new FleetTime(_clock)
+    this.decisions = new JournalFollowerTask('decisions', jobTable, this._fleetTime, this._decisionJournal, _clock, _random, _metrics, _log)
+    this.submissions = new JournalFollowerTask('submissions', jobTable, this._fleetTime, this._submissionJournal, _clock, _random, _metrics, _log)
     this._submissionWriter = new SubmissionWriterTask(this._submissionJournal, _clock, _random, _metrics)
-    this.service = new JobService(this.configuration, this._submissionJournal, this.submissions, this.decisions, this._submissionWriter, _clock, _metrics, _log)
+    this.service = new JobService(this.configuration, this._submissionJournal, this.submissions, this.decisions, this._submissionWriter, this._fleetTime, _clock, _metrics, _log)
   }
 
   /** Whether the process can serve: it isn't stopping, has a configuration, and its view of the store is current. */
@@ -135,7 +138,7 @@
     const { _clock: clock, _random: random, _log: log, decisions, submissions } = this
     const terms = this._createSupervisor('terms')
     const ownerFactory = this._createOwnerFactory()
-    const createTerm = (): Task => new TermTask(this._holder, this._decisionJournal, decisions, this._submissionJournal, submissions, ownerFactory, clock, random, log)
+    const createTerm = (): Task => new TermTask(this._holder, this._decisionJournal, decisions, this._submissionJournal, submissions, ownerFactory, this._fleetTime, clock, random, log)
     return [terms, new OwnershipTask(this._holder, decisions, terms, createTerm, ownerResourceShortfall(this._settings.machine), clock, random, log)]
   }
 
@@ -145,7 +148,7 @@
     const advisor = platform.advice === '' ? null : new HttpAdvisor(dialer.dial(platform.advice, 1))
     return new OwnerTreeFactory(
       () => this._settings, this._holder, dialer, this._storeClient, virtualMachineControl, advisor,
-      this._decisionJournal, this.decisions, this.submissions, this._submissionWriter, this.configuration,
+      this._decisionJournal, this.decisions, this.submissions, this._submissionWriter, this.configuration, this._fleetTime,
       this._supervisorObserver, this._clock, this._random, this._metrics, this._log, this._load
     )
   }
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -11,6 +11,7 @@
 import { EvacuationTask } from '../capacity/evacuation-task.js'
 import { WaveTask } from '../capacity/wave-task.js'
 import type { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
+import type { FleetTime } from '../jobs/fleet-time.js'
 import type { JobJournal } from '../jobs/job-journal.js'
 import type { JournalFollowerTask } from '../jobs/journal-follower-task.js'
 import type { SubmissionWriterTask } from '../jobs/submission-writer-task.js'
@@ -78,7 +79,7 @@
     private readonly _settings: () => NodeSettings, private readonly _holder: string, private readonly _dialer: Dialer, private readonly _storeClient: CallClient,
     private readonly _virtualMachineControl: FleetVirtualMachineControl | null, private readonly _advisor: Advisor | null,
     private readonly _decisionJournal: JobJournal, private readonly _decisions: JournalFollowerTask, private readonly _submissions: JournalFollowerTask,
-    private readonly _submissionWriter: SubmissionWriterTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _supervisorObserver: SupervisorObserver,
+    private readonly _submissionWriter: SubmissionWriterTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _fleetTime: FleetTime, private readonly _supervisorObserver: SupervisorObserver,
     private readonly _clock: Clock, private readonly _random: RandomSource, private readonly _metrics: Metrics, private readonly _log: DecisionLog,
     private readonly _load: ProcessorLoad
   ) {
@@ -95,7 +96,7 @@
     const pace = new OwnerPace(this._load)
     const leaseRenewals = this._createSupervisor('holds')
     const orders = this._createSupervisor('orders')
-    const writer = new DecisionWriterTask(this._decisionJournal, this._decisions, term, claim.sentAt, this._holder, onLost, clock, random, metrics)
+    const writer = new DecisionWriterTask(this._decisionJournal, this._decisions, term, claim.sentAt, this._holder, this._fleetTime, onLost, clock, random, metrics)
     const dispatcher: SupervisedRunOrderDispatcher = new SupervisedRunOrderDispatcher(
       orders,
       (task, worker) => new StartRunTask(task, worker, advice, schedule, dispatcher, onLost, clock, metrics),
@@ -105,7 +106,7 @@
     const workerTable = new WorkerTable(configuration, leaseDurations, claim.isHandover ? clock.now() : claim.predecessorLastContactAt + RENEWAL_GRACE_PERIOD_MILLISECONDS, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
-    const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, clock, metrics, log)
+    const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, this._fleetTime, clock, metrics, log)
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock), record => WorkerCodec.decode(record))
     const workerRegistry = new WorkerRegistryFollowerTask(
@@ -126,7 +127,7 @@
       new OutcomeRetentionTask(jobTable, scheduledJobs, writer, this._submissionWriter, timings.statusRetentionMilliseconds, clock),
       new EvacuationTask(schedule, workerTable, clock), new FillerThrottlingTask(workerTable, clock, random, metrics, log)
     ]) owner.add(child)
-    if (this._virtualMachineControl) for (const child of this._capacityTasks(this._virtualMachineControl, scheduledJobs, workerTable, writer, takeover, timings, term, onLost)) owner.add(child)
+    if (this._virtualMachineControl) for (const child of this._capacityTasks(this._virtualMachineControl, scheduledJobs, workerTable, writer, takeover, timings, term, claim, onLost)) owner.add(child)
     return owner
   }
 
@@ -138,11 +139,11 @@
   /** Tasks that move VMs between pools and carry out maintenance waves. */
   private _capacityTasks (
     control: FleetVirtualMachineControl, scheduledJobs: ScheduledJobTable, workerTable: WorkerTable, writer: DecisionWriterTask, takeover: TakeoverTask, timings: FleetTimings, term: number,
-    onLost: (cause: string) => void
+    claim: TermClaim, onLost: (cause: string) => void
   ): Task[] {
     const { _clock: clock, _log: log, _configuration: configuration, _decisions: { jobTable } } = this
     const inventory = new InventoryTask(control, clock, log)
-    const locks = new VirtualMachineLocks(jobTable, writer, term, timings.holderChangeMilliseconds, clock)
+    const locks = new VirtualMachineLocks(jobTable, writer, term, claim.predecessorLastContactAt, timings.holderChangeMilliseconds, this._fleetTime, clock)
     const statusPublisher = new TopicWaveStatusPublisher(new KeyedTopic(this._storeClient, STATUS_TOPIC, clock))
     const isTakeoverDone = (): boolean => takeover.isDone
     const isViewCurrent = (): boolean => isTakeoverDone() && this._viewFreshAt() > clock.now() - MAXIMUM_VIEW_AGE_MILLISECONDS
--- a/src/ownership/term-task.ts
+++ b/src/ownership/term-task.ts
@@ -2,6 +2,7 @@
  * Runs one term of ownership of the journal.
  */
 import type { FeedError } from '../feeds/feed-error.js'
+import type { FleetTime } from '../jobs/fleet-time.js'
 import type { JobJournal } from '../jobs/job-journal.js'
 import type { JournalFollowerTask } from '../jobs/journal-follower-task.js'
 import type { DecisionLog } from '../observability/decision-log.js'
@@ -36,7 +37,7 @@
    */
   constructor (
     private readonly _holder: string, private readonly _decisionJournal: JobJournal, private readonly _decisions: JournalFollowerTask,
-    private readonly _submissionJournal: JobJournal, private readonly _submissions: JournalFollowerTask, private readonly _ownerFactory: OwnerFactory,
+    private readonly _submissionJournal: JobJournal, private readonly _submissions: JournalFollowerTask, private readonly _ownerFactory: OwnerFactory, private readonly _fleetTime: FleetTime,
     private readonly _clock: Clock, private readonly _random: RandomSource, private readonly _log: DecisionLog
   ) {
     super()
@@ -106,7 +107,7 @@
       // The store accepts the claim only if nothing was written since, so that this is the predecessor's last contact.
       const lastContactAt = this._decisions.ownerLastContactAt
       const claim = await this._decisionJournal.append(
-        [{ kind: 'term', term, holder: this._holder, isReleased: false, at: sentAt }], { term, sequence: 0, expectedEnd: this._decisions.nextOffset }, sentAt + CLAIM_TIMEOUT_MILLISECONDS, signal)
+        [{ kind: 'term', term, holder: this._holder, isReleased: false, at: this._fleetTime.fromLocal(sentAt) }], { term, sequence: 0, expectedEnd: this._decisions.nextOffset }, sentAt + CLAIM_TIMEOUT_MILLISECONDS, signal)
       if (claim.isRight()) return { offset: claim.unsafeCoerce().first, sentAt, isHandover: previousTerm.isReleased && previousTerm.number > 0, predecessorLastContactAt: lastContactAt }
       const error = claim.extract() as FeedError
       if (error.kind === 'moved') {
--- a/src/scheduling/decision-writer-task.ts
+++ b/src/scheduling/decision-writer-task.ts
@@ -2,6 +2,7 @@
  * Writer of the owner's decisions to the journal.
  */
 import type { FeedError } from '../feeds/feed-error.js'
+import type { FleetTime } from '../jobs/fleet-time.js'
 import type { JobJournal } from '../jobs/job-journal.js'
 import type { JournalFollowerTask } from '../jobs/journal-follower-task.js'
 import type { JournalRecord } from '../jobs/journal-record.js'
@@ -58,7 +59,7 @@
    * @param _onTermLost called when the store rejects an append for good, as it does once a higher term has been claimed.
    */
   constructor (
-    private readonly _journal: JobJournal, private readonly _decisions: Pick<JournalFollowerTask, 'jobTable' | 'recordOwnAppend'>, private readonly _term: number, claimedAt: number, private readonly _holder: string, private readonly _onTermLost: (cause: string) => void,
+    private readonly _journal: JobJournal, private readonly _decisions: Pick<JournalFollowerTask, 'jobTable' | 'recordOwnAppend'>, private readonly _term: number, claimedAt: number, private readonly _holder: string, private readonly _fleetTime: FleetTime, private readonly _onTermLost: (cause: string) => void,
     private readonly _clock: Clock, random: RandomSource, private readonly _metrics: Metrics
   ) {
     super()
@@ -112,11 +113,11 @@
     while (!signal.aborted || !isReleased) {
       if (signal.aborted) {
         // The last record of the term; it lets another process claim the next term at once.
-        this._pendingRecords.push({ kind: 'term', term: this._term, holder: this._holder, isReleased: true, at: this._clock.now() })
+        this._pendingRecords.push({ kind: 'term', term: this._term, holder: this._holder, isReleased: true, at: this._fleetTime.now() })
         isReleased = true
       } else if (this._clock.now() >= this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS) {
         this._renewedAt = this._clock.now()
-        this._pendingRecords.push({ kind: 'term', term: this._term, holder: this._holder, isReleased: false, at: this._renewedAt })
+        this._pendingRecords.push({ kind: 'term', term: this._term, holder: this._holder, isReleased: false, at: this._fleetTime.fromLocal(this._renewedAt) })
       }
       const batch = this._nextBatch()
       this._isWriting = true
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -2,6 +2,7 @@
  * The owner's schedule: the state of jobs and tasks, and the decisions on them.
  */
 import type { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
+import type { FleetTime } from '../jobs/fleet-time.js'
 import { JobObserver } from '../jobs/job-observer.js'
 import type { JobView } from '../jobs/job-view.js'
 import type { DecisionLog } from '../observability/decision-log.js'
@@ -35,7 +36,7 @@
     private readonly _configuration: ConfigurationFollowerTask,
     private readonly _writer: DecisionWriterTask,
     private readonly _dispatcher: RunOrderDispatcher,
-    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations,
+    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _fleetTime: FleetTime,
     private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -47,7 +48,7 @@
   }
 
   override jobSubmitted (view: JobView): void {
-    const job = new ScheduledJob(view)
+    const job = new ScheduledJob(view, this._fleetTime)
     this._jobs.add(job)
     for (const step of job.steps) for (const task of step.tasks) if (task.phase === 'placed') this._restorePlacement(task)
     if (job.isFinished) this._finishJob(job)
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -78,7 +78,7 @@
     this._log.emit('runs placed', {
       step: step.name,
       queue: queue.name,
-      waited: Math.round(now - job.view.submission.submittedAt),
+      waited: Math.round(now - job.submittedAt),
       slack: Math.round(job.targetCompletionAt(step.occurrence, queue) - job.criticalPathMilliseconds(step) - now),
       configuration: this._configuration.version,
       runs: tasks.map(task => `${task.index}/${task.run} ${task.workerId}`)
--- a/src/scheduling/scheduled-job.ts
+++ b/src/scheduling/scheduled-job.ts
@@ -1,6 +1,7 @@
 /**
  * The owner's view of a job.
  */
+import type { FleetTime } from '../jobs/fleet-time.js'
 import type { JobView } from '../jobs/job-view.js'
 import type { JobQueue } from '../configuration/job-queue.js'
 import { ScheduledStep } from './scheduled-step.js'
@@ -14,9 +15,15 @@
   isCancelled = false
   hasFailed = false
 
+  /** Epoch milliseconds, on this process's clock, of the submission and of the due time of occurrence 0; 0 if that is due at once. */
+  readonly submittedAt: number
+  readonly startAt: number
+
   /** @param view state of the job in the journal, from which the schedule starts. */
-  constructor (readonly view: JobView) {
-    const { occurrences, steps } = view.submission
+  constructor (readonly view: JobView, fleetTime: FleetTime) {
+    const { occurrences, steps, submittedAt, startAt } = view.submission
+    this.submittedAt = fleetTime.toLocal(submittedAt)
+    this.startAt = startAt === 0 ? 0 : fleetTime.toLocal(startAt)
     this.steps = Array.from({ length: occurrences }, (_, occurrence) =>
       steps.map((definition, index) => new ScheduledStep(this, occurrence, index, definition))).flat()
     this._pathMilliseconds = this._longestPaths()
@@ -51,9 +58,8 @@
 
   /** Returns the epoch milliseconds by which an occurrence has to complete to meet the queue's latency target. */
   targetCompletionAt (occurrence: number, queue: JobQueue): number {
-    const { submittedAt } = this.view.submission
     const dueAt = this.step(occurrence, 0)?.dueAt ?? 0
-    return Math.max(submittedAt, dueAt) + queue.stretch * Math.max(0, ...this._pathMilliseconds) + queue.targetLatencyMilliseconds
+    return Math.max(this.submittedAt, dueAt) + queue.stretch * Math.max(0, ...this._pathMilliseconds) + queue.targetLatencyMilliseconds
   }
 
   private _longestPaths (): number[] {
--- a/src/scheduling/scheduled-step.ts
+++ b/src/scheduling/scheduled-step.ts
@@ -21,7 +21,7 @@
 
   /** Epoch milliseconds from which the step may start; 0 for at once. */
   get dueAt (): number {
-    const { startAt, intervalMilliseconds } = this.job.view.submission
+    const { startAt, view: { submission: { intervalMilliseconds } } } = this.job
     return startAt === 0 ? 0 : startAt + this.occurrence * intervalMilliseconds
   }
 
--- a/tests/decision-writer-task.test.ts
+++ b/tests/decision-writer-task.test.ts
@@ -4,6 +4,7 @@
 import { Left, Right } from 'purify-ts/Either'
 import { expect, test } from 'vitest'
 import { FeedError } from '../src/feeds/feed-error.js'
+import { FleetTime } from '../src/jobs/fleet-time.js'
 import { JobTable } from '../src/jobs/job-table.js'
 import { JobJournal } from '../src/jobs/job-journal.js'
 import { DecisionLogSupervisorObserver } from '../src/observability/decision-log-supervisor-observer.js'
@@ -52,7 +53,7 @@
   const journal = new ScriptedJournal(clock, results)
   const metrics = new MemoryMetrics()
   const lossCauses: string[] = []
-  const writer = new DecisionWriterTask(journal, { jobTable: new JobTable(), recordOwnAppend: () => {} }, 5, clock.now(), 'holder', cause => lossCauses.push(cause), clock, new SeededRandomSource(1), metrics)
+  const writer = new DecisionWriterTask(journal, { jobTable: new JobTable(), recordOwnAppend: () => {} }, 5, clock.now(), 'holder', new FleetTime(clock), cause => lossCauses.push(cause), clock, new SeededRandomSource(1), metrics)
   const root = new Supervisor('root', clock, new DecisionLogSupervisorObserver(new RecordingDecisionLog(), metrics))
   root.add(writer)
   root.run(new AbortController().signal).catch(() => {})
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -79,8 +79,12 @@
     })
   }
 
-  /** Starts a process on a VM with the given resources. */
-  start (name: string, virtualMachine: { processorShare?: number, linkMegabitsPerSecond?: number } = {}): EmulatedNode {
+  /**
+   * Starts a process on a VM with the given resources.
+   *
+   * @param clockError error of the time of day at its start, in milliseconds.
+   */
+  start (name: string, virtualMachine: { processorShare?: number, linkMegabitsPerSecond?: number } = {}, clockError = 0): EmulatedNode {
     const { store, machines, advice } = this.emulator.addresses
     const settings = NodeSettings.parse({
       process: { id: name, availabilityZone: 'a' },
@@ -93,7 +97,7 @@
     })
     const log = new RecordingDecisionLog()
     const load = new ScriptedLoad()
-    const clock = new SuspendableClock(this.clock)
+    const clock = new SuspendableClock(this.clock, clockError)
     const tree = new NodeTree(settings, new EmulatorDialer(this.emulator, name, clock, () => clock.untilRunning()), clock, new SeededRandomSource(this._seed + this.nodes.size), new MemoryMetrics(), log, load)
     const stop = new AbortController()
     const node = { tree, log, stop, clock, load, completion: tree.buildWithoutServers().run(stop.signal) }
@@ -121,17 +125,17 @@
   /** Submits a job to a process. */
   submit (node: string, id: string, steps: readonly Partial<StepDefinition>[], options: { occurrences?: number, startAt?: number, intervalMilliseconds?: number } = {}): Promise<JobResponse> {
     const job = { specification: 'text', steps: steps.map(step => ({ ...PLAIN_STEP, ...step })), occurrences: 1, startAt: 0, intervalMilliseconds: 0, ...options }
-    return this._awaitResponse(this._service(node).submit(this._createRequest(id), id, job))
+    return this._awaitResponse(this._service(node).submit(this._createRequest(node, id), id, job))
   }
 
   /** Queries the state of a job at a process. */
   state (node: string, id: string): Promise<JobResponse> {
-    return this._awaitResponse(this._service(node).state(this._createRequest(id), id))
+    return this._awaitResponse(this._service(node).state(this._createRequest(node, id), id))
   }
 
   /** Requests cancellation of a job at a process. */
   cancel (node: string, id: string): Promise<JobResponse> {
-    return this._awaitResponse(this._service(node).cancel(this._createRequest(id), id))
+    return this._awaitResponse(this._service(node).cancel(this._createRequest(node, id), id))
   }
 
   /** Name of the process that owns the journal: the one that began the last term. */
@@ -162,8 +166,8 @@
     return found.tree.service
   }
 
-  private _createRequest (id: string): { host: string, path: string, key: string, deadline: number } {
-    return { host: HOST, path: `/q/${id}`, key: KEY, deadline: this.clock.now() + 3_000 }
+  private _createRequest (node: string, id: string): { host: string, path: string, key: string, deadline: number } {
+    return { host: HOST, path: `/q/${id}`, key: KEY, deadline: (this.nodes.get(node)?.clock ?? this.clock).now() + 3_000 }
   }
 
   /** Advances time until a response arrives, for at most four seconds. */
--- a/tests/support/suspendable-clock.ts
+++ b/tests/support/suspendable-clock.ts
@@ -3,27 +3,36 @@
  */
 import { Clock } from '../../src/supervision/clock.js'
 
-/** Follows another clock. Doesn't count time that passes during suspension, except in the time of day. */
+/**
+ * Follows another clock. Doesn't count time that passes during suspension, except in the time of day. The time of day may jump; if it is
+ * wrong when the process starts, the steady clock has that error for life.
+ */
 export class SuspendableClock extends Clock {
+  /** Current error of the time of day, in milliseconds. */
+  timeOfDayError: number
   private _suspendedMilliseconds = 0
   private _suspendedAt: number | null = null
   private _waiters: Array<() => void> = []
 
-  constructor (private readonly _clock: Clock) {
+  /**
+   * @param _originError error of the time of day at the start of the process, in milliseconds.
+   */
+  constructor (private readonly _clock: Clock, private readonly _originError = 0) {
     super()
+    this.timeOfDayError = _originError
   }
 
   override now (): number {
-    return (this._suspendedAt ?? this._clock.now()) - this._suspendedMilliseconds
+    return (this._suspendedAt ?? this._clock.now()) - this._suspendedMilliseconds + this._originError
   }
 
   override timeOfDay (): number {
-    return this._clock.timeOfDay()
+    return this._clock.timeOfDay() + this.timeOfDayError
   }
 
   override async sleepUntil (deadline: number, signal?: AbortSignal): Promise<void> {
     do {
-      await this._clock.sleepUntil(deadline + this._suspendedMilliseconds, signal)
+      await this._clock.sleepUntil(deadline + this._suspendedMilliseconds - this._originError, signal)
       await this.untilRunning()
     } while (this.now() < deadline)
   }
