--- a/src/scheduling/decision-writer-task.ts
+++ b/src/scheduling/decision-writer-task.ts
@@ -28,12 +28,6 @@
 /** A quarter of the time without records after which another process may claim the next term. */
 const TERM_RENEWAL_INTERVAL_MILLISECONDS = 300
 
-/**
- * How long progress that nothing waits for may stay unwritten, in milliseconds. Every process reads every record, and the tasks of a step
- * end one after the other: a record for each of them would fill the links of small VMs.
- */
-const DEFERRED_WRITE_MILLISECONDS = 150
-
 /** Records of one append, and the callbacks to run once they are durable. */
 interface Batch {
   readonly records: readonly JournalRecord[]
@@ -50,13 +44,8 @@
   private readonly _wake = new Notifier()
   private readonly _backoff: Backoff
   private readonly _pendingSteps = new Set<ScheduledStep>()
-  /** Steps with progress that nothing waits for, and the epoch milliseconds by which the oldest of it is written; Infinity for none. */
-  private readonly _deferredSteps = new Set<ScheduledStep>()
-  private _deferredWriteAt = Infinity
   private _pendingRecords: JournalRecord[] = []
   private _pendingCallbacks: Array<() => void> = []
-  /** Callbacks that wait for the deferred steps too. */
-  private _deferredCallbacks: Array<() => void> = []
   private _sequence = 1
   private _renewedAt: number
   private _confirmedAt: number
@@ -90,30 +79,18 @@
 
   /** Whether an append is in progress, or records or callbacks wait for one. */
   get hasPendingWrites (): boolean {
-    return this._isWriting || this._pendingCallbacks.length > 0 || this._pendingSteps.size > 0 || this._deferredSteps.size > 0 || this._pendingRecords.length > 0
+    return this._isWriting || this._pendingCallbacks.length > 0 || this._pendingSteps.size > 0 || this._pendingRecords.length > 0
   }
 
   /** Writes the step's state as of the next append, then calls `onWritten`. */
   writeStep (step: ScheduledStep, onWritten?: () => void): void {
     this._pendingSteps.add(step)
-    this._deferredSteps.delete(step)
     if (onWritten) this._pendingCallbacks.push(onWritten)
     this._wake.notify()
   }
 
-  /** Writes the step's state within a short time, unless it is written before that for another reason. */
-  writeStepSoon (step: ScheduledStep): void {
-    if (this._pendingSteps.has(step)) return
-    this._deferredSteps.add(step)
-    if (this._deferredWriteAt < Infinity) return
-    this._deferredWriteAt = this._clock.now() + DEFERRED_WRITE_MILLISECONDS
-    this._wake.notify()
-  }
-
   /** Writes a record, then calls `onWritten`. */
   append (record: JournalRecord, onWritten?: () => void): void {
-    // An outcome deletes the job's steps, which must not be written after it.
-    if (record.kind === 'outcome') this._releaseDeferred()
     this._pendingRecords.push(record)
     if (onWritten) this._pendingCallbacks.push(onWritten)
     this._wake.notify()
@@ -126,8 +103,7 @@
       onWritten()
       return
     }
-    if (this._deferredSteps.size > 0) this._deferredCallbacks.push(onWritten)
-    else this._pendingCallbacks.push(onWritten)
+    this._pendingCallbacks.push(onWritten)
     this._wake.notify()
   }
 
@@ -143,7 +119,6 @@
         this._renewedAt = this._clock.now()
         this._pendingRecords.push({ kind: 'term', term: this._term, holder: this._holder, isReleased: false, at: this._fleetTime.fromLocal(this._renewedAt) })
       }
-      if (signal.aborted || this._clock.now() >= this._deferredWriteAt) this._releaseDeferred()
       const batch = this._nextBatch()
       this._isWriting = true
       if (batch.records.length > 0 && !await this._appendToJournal(batch.records, signal)) {
@@ -154,19 +129,10 @@
       }
       this._isWriting = false
       for (const callback of batch.callbacks) callback()
-      if (batch.records.length === 0 && batch.callbacks.length === 0) await this._wake.wait(this._clock, Math.min(this._deferredWriteAt, this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS), signal)
+      if (batch.records.length === 0 && batch.callbacks.length === 0) await this._wake.wait(this._clock, this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS, signal)
     }
   }
 
-  /** Moves the deferred steps and their callbacks into the next append. */
-  private _releaseDeferred (): void {
-    for (const step of this._deferredSteps) this._pendingSteps.add(step)
-    this._pendingCallbacks.push(...this._deferredCallbacks)
-    this._deferredSteps.clear()
-    this._deferredCallbacks = []
-    this._deferredWriteAt = Infinity
-  }
-
   private _nextBatch (): Batch {
     const steps = this._nextSteps()
     // A callback may depend on any of the steps, so callbacks go with the batch that has the last of them.
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -83,7 +83,7 @@
     this._log.emit('late run completion', { task: task.name, run: completion.run, how: completion.result, present: task.run, phase: task.phase })
     if (completion.result === 'failed') {
       task.recordFailure(completion.run)
-      this._writer.writeStepSoon(task.step)
+      this._writer.writeStep(task.step)
     }
     if (completion.result !== 'done') return
     if (task.phase === 'placed') this.stop(task)
@@ -216,9 +216,7 @@
   private _finishTask (task: ScheduledTask, phase: 'done' | 'failed'): void {
     this._reservations.release(task)
     task.phase = phase
-    // Callers learn of the end of a step at once; until then, its tasks may be written together.
-    if (task.step.isDone || phase === 'failed') this._writer.writeStep(task.step)
-    else this._writer.writeStepSoon(task.step)
+    this._writer.writeStep(task.step)
   }
 
   /** Updates the job after a change of a step: the job may be finished, or its next steps may start. */
@@ -247,7 +245,7 @@
     this._reservations.release(task)
     if (task.phase === 'placed') {
       task.phase = 'waiting'
-      this._writer.writeStepSoon(task.step)
+      this._writer.writeStep(task.step)
     }
     this.markChanged()
   }
--- a/src/scheduling/owner-pace.ts
+++ b/src/scheduling/owner-pace.ts
@@ -7,7 +7,7 @@
 const FULL_PACE_UTILIZATION = 0.6
 
 /** Time between the responses of one worker that reported completions, in milliseconds, at full pace and with no processor time left. */
-const RENEWAL_INTERVAL_MILLISECONDS = { least: 40, most: 240 } as const
+const RENEWAL_INTERVAL_MILLISECONDS = { least: 10, most: 240 } as const
 
 /** Time between two placement rounds, in milliseconds, at full pace and with no processor time left. */
 const ROUND_INTERVAL_MILLISECONDS = { least: 10, most: 80 } as const
