Ask a worker that was silent again at once, while its lease still runs

Cause: after an unanswered renewal the next one was again a long poll of a second, with a time-out of 1.6 s, and only the one after its response extended the lease. A worker that was silent for 3.4 s so lost runs whose lease of 5 s it could have kept: they were started again elsewhere. Change: renewals after a failed call don't wait.

--- a/src/scheduling/lease-renewal-task.ts
+++ b/src/scheduling/lease-renewal-task.ts
@@ -96,7 +96,8 @@
 
   private _longPollMilliseconds (): number {
     const { lastReportAt, appliedSequence, acknowledgedSequence, tasks } = this._worker
-    if (lastReportAt === 0 || appliedSequence !== acknowledgedSequence) return 0
+    // After a failed call, the next response shows at once that the worker is back, while its lease still runs.
+    if (lastReportAt === 0 || this._consecutiveFailures > 0 || appliedSequence !== acknowledgedSequence) return 0
     return tasks.size === 0 ? IDLE_LONG_POLL_MILLISECONDS : LONG_POLL_MILLISECONDS
   }
 
