Place the jobs with the least remaining work first when a pool is full

Steps that could still meet their target were placed by their latest start, so that each one started when it was about to be late, wide jobs held up many small ones, and jobs were placed in part. Change: within a class, priority and usage level, the job with the least work that isn't placed yet goes first; a job that is placed in part goes on. Jobs that wait too long leave the class of those that can meet their target, as before. Answers bursts beyond a pool's capacity.

--- a/src/scheduling/scheduled-job.ts
+++ b/src/scheduling/scheduled-job.ts
@@ -11,6 +11,8 @@
   readonly steps: readonly ScheduledStep[]
   /** Estimated duration of the longest chain of dependent steps that begins with each step of an occurrence, in milliseconds. */
   private readonly _pathMilliseconds: readonly number[]
+  /** Estimated work of the steps after each step of an occurrence, in millicores times milliseconds. */
+  private readonly _workAfter: readonly number[]
   /** Whether a cancellation was applied before the job had finished. */
   isCancelled = false
   hasFailed = false
@@ -27,6 +29,7 @@
     this.steps = Array.from({ length: occurrences }, (_, occurrence) =>
       steps.map((definition, index) => new ScheduledStep(this, occurrence, index, definition))).flat()
     this._pathMilliseconds = this._longestPaths()
+    this._workAfter = this._laterWork()
     this.isCancelled = view.isCancelled
     this.hasFailed = this.steps.some(step => step.tasks.some(({ phase }) => phase === 'failed'))
   }
@@ -56,12 +59,23 @@
     return this._pathMilliseconds[from.index] ?? 0
   }
 
+  /** Returns the estimated work that has not been placed yet, of the given step and the later ones of its occurrence, in millicores times milliseconds. */
+  remainingWork ({ index, definition: { demand, estimateMilliseconds }, waitingTasks }: ScheduledStep): number {
+    return waitingTasks.length * demand.millicores * estimateMilliseconds + (this._workAfter[index] ?? 0)
+  }
+
   /** Returns the epoch milliseconds by which an occurrence has to complete to meet the queue's latency target. */
   targetCompletionAt (occurrence: number, queue: JobQueue): number {
     const dueAt = this.step(occurrence, 0)?.dueAt ?? 0
     return Math.max(this.submittedAt, dueAt) + queue.stretch * Math.max(0, ...this._pathMilliseconds) + queue.targetLatencyMilliseconds
   }
 
+  private _laterWork (): number[] {
+    const { steps } = this.view.submission
+    const work = steps.map(({ count, demand, estimateMilliseconds }) => count * demand.millicores * estimateMilliseconds)
+    return work.map((_, index) => work.slice(index + 1).reduce((sum, stepWork) => sum + stepWork, 0))
+  }
+
   private _longestPaths (): number[] {
     const { steps } = this.view.submission
     const paths = new Array<number>(steps.length).fill(0)
--- a/src/scheduling/urgency-placement-policy.ts
+++ b/src/scheduling/urgency-placement-policy.ts
@@ -16,18 +16,19 @@
   readonly priority: number
   /** Usage of its team per unit of share, in quarters of that of the team with the highest usage. */
   readonly usageLevel: number
-  /** Epoch milliseconds by which the step must start for the job to meet its target. */
-  readonly latestStartAt: number
+  /** Estimated work of the job that has not been placed yet. */
+  readonly work: number
 }
 
-/** Steps of teams on the same usage level are ordered by urgency. */
+/** Steps of teams on the same usage level are ordered by the work of their jobs. */
 const TEAM_USAGE_LEVELS = 4
 
 /**
  * Places lasting tasks first, because they serve users all the time, then steps of jobs that can still meet their
  * target, then the others. Within each class, steps are ordered by the priority of their queue, the usage of their team
- * relative to its share, and the latest start. Workers are filled up one after another, so that the others stay free
- * for large tasks and for moves.
+ * relative to its share, and the work that their job still needs: this answers bursts of more work than the pool can do in time, in which
+ * the most jobs meet their target if the smallest go first. A large job that waits too long leaves that class. Workers are filled up one
+ * after another, so that the others stay free for large tasks and for moves.
  */
 export class UrgencyPlacementPolicy extends PlacementPolicy {
   constructor (private readonly _configuration: ConfigurationFollowerTask, private readonly _usage: TeamUsage) {
@@ -39,7 +40,7 @@
     const highestUsage = Math.max(1, ...usages)
     const rankedSteps = steps.map((step, index) => this._rankStep(step, Math.floor((usages[index] ?? 0) / highestUsage * TEAM_USAGE_LEVELS), now))
     rankedSteps.sort((left, right) =>
-      left.urgencyClass - right.urgencyClass || left.priority - right.priority || left.usageLevel - right.usageLevel || left.latestStartAt - right.latestStartAt)
+      left.urgencyClass - right.urgencyClass || left.priority - right.priority || left.usageLevel - right.usageLevel || left.work - right.work)
     return rankedSteps.map(({ step }) => step)
   }
 
@@ -69,9 +70,9 @@
 
   private _rankStep (step: ScheduledStep, usageLevel: number, now: number): RankedStep {
     const queue = this._configuration.queue(step.job.view.submission.queue)
-    if (!queue) return { step, urgencyClass: 2, priority: Infinity, usageLevel, latestStartAt: Infinity }
+    if (!queue) return { step, urgencyClass: 2, priority: Infinity, usageLevel, work: Infinity }
     const latestStartAt = step.job.targetCompletionAt(step.occurrence, queue) - step.job.criticalPathMilliseconds(step)
     const urgencyClass = step.definition.isLasting ? 0 : latestStartAt >= now ? 1 : 2
-    return { step, urgencyClass, priority: queue.priority, usageLevel, latestStartAt }
+    return { step, urgencyClass, priority: queue.priority, usageLevel, work: step.job.remainingWork(step) }
   }
 }
