Run accepted jobs of a removed queue, and place by priority before lateness

Causes: (1) a configuration that removes a queue left the jobs that it had accepted without a definition: nothing of them was placed any more, for good. (2) placement compared lateness before the priority of queues, although priority 0 comes first on the platform; so a late job of the first queue waited behind on-time jobs of a later one. Change: definitions of removed queues are kept for their jobs; requests to them are refused as before. Priority is compared first.

--- a/src/capacity/inventory-task.ts
+++ b/src/capacity/inventory-task.ts
@@ -23,7 +23,6 @@
   override readonly name = 'inventory'
   readonly changed = new Notifier()
   private _virtualMachines = new Map<string, FleetVirtualMachine>()
-  private _virtualMachinesByWorker = new Map<string, FleetVirtualMachine>()
   private _listedAt = 0
   private _changesExpectedUntil = 0
   private _isReachable = true
@@ -46,11 +45,6 @@
     return this._virtualMachines.get(id) ?? null
   }
 
-  /** Returns the VM that a worker runs on, or null. */
-  virtualMachineByWorker (worker: string): FleetVirtualMachine | null {
-    return this._virtualMachinesByWorker.get(worker) ?? null
-  }
-
   /** Lists the VMs more often until `deadline` (epoch milliseconds). */
   expectChangesUntil (deadline: number): void {
     this._changesExpectedUntil = Math.max(this._changesExpectedUntil, deadline)
@@ -66,7 +60,6 @@
       if (result.isRight()) {
         const virtualMachines = result.unsafeCoerce()
         this._virtualMachines = new Map(virtualMachines.map(virtualMachine => [virtualMachine.id, virtualMachine]))
-        this._virtualMachinesByWorker = new Map(virtualMachines.filter(({ worker }) => worker !== '').map(virtualMachine => [virtualMachine.worker, virtualMachine]))
         this._listedAt = requestedAt
         this.changed.notify()
       }
--- a/src/configuration/configuration-follower-task.ts
+++ b/src/configuration/configuration-follower-task.ts
@@ -52,7 +52,7 @@
     return this._queueIndex?.find(host, path) ?? null
   }
 
-  /** Returns a queue by name, or null. */
+  /** Returns a queue by name, also one that was removed since this process has started, or null. */
   queue (name: string): JobQueue | null {
     return this._queues.get(name) ?? null
   }
@@ -108,7 +108,8 @@
     if (configuration.version <= this.version) return
     this._configuration = configuration
     this._queueIndex = new QueueIndex(configuration)
-    this._replaceEntries(this._queues, configuration.queues.map(queue => [queue.name, queue]))
+    // A queue that was removed takes no more jobs, but those that it has accepted still run.
+    for (const queue of configuration.queues) this._queues.set(queue.name, queue)
     this._replaceEntries(this._pools, configuration.pools.map(pool => [pool.name, pool]))
     this._replaceEntries(this._teams, configuration.teams.map(team => [team.name, team]))
     this._replaceEntries(this._teamsByKey, configuration.teams.flatMap(team => team.keys.map((key): [string, JobTeam] => [key, team])))
--- a/src/peers/membership.ts
+++ b/src/peers/membership.ts
@@ -31,7 +31,6 @@
   private readonly _statuses = new Map<string, ReceivedStatus>()
   private readonly _requestedAt = new Map<string, number>()
   private _sequence = 0
-  private _isStopping = false
 
   /**
    * @param self this process.
@@ -57,11 +56,6 @@
     return this._reachesLog() || this.reachableStatuses().some(status => status.reachesLog)
   }
 
-  /** Marks this process as stopping in all further statuses. */
-  announceStop (): void {
-    this._isStopping = true
-  }
-
   /** Creates a new status of this process; each has the next sequence number. */
   createOwnStatus (): MemberStatus {
     this._sequence += 1
@@ -74,7 +68,6 @@
       offset: this._keeper.state.offset,
       freshAt: this._keeper.freshAt,
       reachesLog: this._reachesLog(),
-      ...(this._isStopping ? { isStopping: true } : {}),
       ...this._omitEmpty(roleStatus)
     }
   }
--- a/src/peers/peer-error.ts
+++ b/src/peers/peer-error.ts
@@ -5,11 +5,11 @@
 /** Why a call to a peer got no valid response. */
 export class PeerError extends Error {
   /**
-   * @param kind `unreachable`: not connected; `silent`: no response before the deadline;
+   * @param kind `silent`: no response before the deadline;
    * `closed`: the connection was closed; `invalid`: the response doesn't match its schema;
    * `failed`: the peer returned an error, or the request could not be sent.
    */
-  constructor (readonly kind: 'unreachable' | 'silent' | 'closed' | 'invalid' | 'failed', message: string) {
+  constructor (readonly kind: 'silent' | 'closed' | 'invalid' | 'failed', message: string) {
     super(message)
     this.name = 'PeerError'
   }
--- a/src/scheduling/urgency-placement-policy.ts
+++ b/src/scheduling/urgency-placement-policy.ts
@@ -11,9 +11,10 @@
 /** A step with its sort keys. */
 interface RankedStep {
   readonly step: ScheduledStep
-  /** 0: runs lasting tasks; 1: can still meet its target; 2: misses its target in any case. */
-  readonly urgencyClass: number
+  readonly isLasting: boolean
   readonly priority: number
+  /** Whether its job misses its target in any case. */
+  readonly isLate: boolean
   /** Usage of its team per unit of share, in quarters of that of the team with the highest usage. */
   readonly usageLevel: number
   /** Estimated work of the job that has not been placed yet. */
@@ -24,10 +25,10 @@
 const TEAM_USAGE_LEVELS = 4
 
 /**
- * Places lasting tasks first, because they serve users all the time, then steps of jobs that can still meet their
- * target, then the others. Within each class, steps are ordered by the priority of their queue, the usage of their team
- * relative to its share, and the work that their job still needs: this answers bursts of more work than the pool can do in time, in which
- * the most jobs meet their target if the smallest go first. A large job that waits too long leaves that class. Workers are filled up one
+ * Places lasting tasks first, because they serve users all the time, then by the priority of the queue, and of one priority
+ * steps of jobs that can still meet their target before the others. Those are ordered by the usage of their team
+ * relative to its share, and by the work that their job still needs: this answers bursts of more work than the pool can do in time, in which
+ * the most jobs meet their target if the smallest go first. A large job that waits too long counts as late. Workers are filled up one
  * after another, so that the others stay free for large tasks and for moves.
  */
 export class UrgencyPlacementPolicy extends PlacementPolicy {
@@ -40,7 +41,7 @@
     const highestUsage = Math.max(1, ...usages)
     const rankedSteps = steps.map((step, index) => this._rankStep(step, Math.floor((usages[index] ?? 0) / highestUsage * TEAM_USAGE_LEVELS), now))
     rankedSteps.sort((left, right) =>
-      left.urgencyClass - right.urgencyClass || left.priority - right.priority || left.usageLevel - right.usageLevel || left.work - right.work)
+      Number(right.isLasting) - Number(left.isLasting) || left.priority - right.priority || Number(left.isLate) - Number(right.isLate) || left.usageLevel - right.usageLevel || left.work - right.work)
     return rankedSteps.map(({ step }) => step)
   }
 
@@ -70,9 +71,8 @@
 
   private _rankStep (step: ScheduledStep, usageLevel: number, now: number): RankedStep {
     const queue = this._configuration.queue(step.job.view.submission.queue)
-    if (!queue) return { step, urgencyClass: 2, priority: Infinity, usageLevel, work: Infinity }
+    if (!queue) return { step, isLasting: false, priority: Infinity, isLate: true, usageLevel, work: Infinity }
     const latestStartAt = step.job.targetCompletionAt(step.occurrence, queue) - step.job.criticalPathMilliseconds(step)
-    const urgencyClass = step.definition.isLasting ? 0 : latestStartAt >= now ? 1 : 2
-    return { step, urgencyClass, priority: queue.priority, usageLevel, work: step.job.remainingWork(step) }
+    return { step, isLasting: step.definition.isLasting, priority: queue.priority, isLate: latestStartAt < now, usageLevel, work: step.job.remainingWork(step) }
   }
 }
--- a/src/schemas/member-status.ts
+++ b/src/schemas/member-status.ts
@@ -42,8 +42,6 @@
   freshAt: EpochMilliseconds,
   /** Whether it reaches the platform's log directly. */
   reachesLog: z.boolean(),
-  /** Whether it is shutting down. */
-  isStopping: z.boolean().optional(),
   demands: z.array(TeamDemand).max(4_096).optional(),
   grantUses: z.array(GrantUse).max(1_024).optional(),
   /** VMs not in service on which requests of this member are still running. */
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -50,6 +50,8 @@
   readonly faults = new EmulatorFaults()
   /** Every incarnation of every worker, for checks. */
   readonly workerIncarnations: EmulatedWorker[] = []
+  /** Workers that the advice service has recommended. */
+  readonly advisedWorkers = new Set<string>()
   /** Number of calls to workers. */
   workerCalls = 0
   /** Number of reads from the store, by `CALLER TOPIC`. */
@@ -175,7 +177,9 @@
 
   /** Returns advice that recommends every second worker of the request. */
   private _advise ({ workers }: { workers: string[] }): { status: number, body: Buffer } {
-    return this._encode({ status: 200, body: { good: workers.filter((_, index) => index % 2 === 0).map(id => [id, `ticket-${id}`]), valid_ms: 3_000 } })
+    const advised = workers.filter((_, index) => index % 2 === 0)
+    for (const id of advised) this.advisedWorkers.add(id)
+    return this._encode({ status: 200, body: { good: advised.map(id => [id, `ticket-${id}`]), valid_ms: 3_000 } })
   }
 
   private _startWorker (virtualMachine: string, pool: string, zone: string): EmulatedWorker {
--- a/stand-ins/endpoint-server.ts
+++ b/stand-ins/endpoint-server.ts
@@ -32,6 +32,8 @@
   readonly path: string
   /** Label that the caller gave the request in the header `x-mark`. */
   readonly mark: string
+  /** Whether the request came with a key, which is between the caller and the system. */
+  readonly hasKey: boolean
   readonly startedAt: number
   endedAt: number | null
 }
@@ -187,6 +189,7 @@
       method: message.method ?? '',
       path: message.url ?? '',
       mark: String(message.headers['x-mark'] ?? ''),
+      hasKey: message.headers.authorization !== undefined,
       startedAt: Date.now(),
       endedAt: null
     }
--- a/tests/placement-order.test.ts
+++ b/tests/placement-order.test.ts
@@ -3,6 +3,7 @@
  */
 import { expect, test } from 'vitest'
 import { EmulatedFleet } from './support/emulated-fleet.js'
+import { PLAIN_STEP } from './support/plain-step.js'
 
 /** Ratio and addend of a job's target, as the fleet's queue is configured. */
 const STRETCH = 1.6
@@ -59,3 +60,26 @@
   expect(wide.filter(isInTime).length).toBeGreaterThanOrEqual(1)
   expect(fleet.violations()).toEqual([])
 })
+
+test('a late job of a queue that comes first is placed before one of a later queue that can still meet its target', async () => {
+  const fleet = new EmulatedFleet(1)
+  fleet.emulator.addVirtualMachine('work', 'a')
+  fleet.configure({
+    hasStandby: false,
+    routes: [{ name: 'later', host: 'fleet.example', path_prefix: '/later/', service: 'work', target_latency_ms: 60_000, priority: 1, max_attempts: 3, stretch: 1.6 }]
+  })
+  fleet.start('one')
+  await fleet.clock.advance(2_000)
+  const wholeWorker = { count: 1, demand: { millicores: 64_000, memoryMegabytes: 100, accelerators: 0 }, estimateMilliseconds: 1_000 }
+  for (const job of ['aaaa', 'bbbb', 'cccc']) fleet.outcomesByTask.set(`${job}.0.0.0`, { milliseconds: 4_000, result: 'done' })
+  await fleet.submit('one', 'aaaa', [wholeWorker])
+  await fleet.clock.advance(500)
+  await fleet.submit('one', 'bbbb', [wholeWorker])
+  const [node] = fleet.nodes.values()
+  const request = { host: 'fleet.example', path: '/later/cccc', key: 'key-of-team', deadline: fleet.clock.now() + 3_000 }
+  node?.tree.service.submit(request, 'cccc', { specification: 'text', steps: [{ ...PLAIN_STEP, ...wholeWorker }], occurrences: 1, startAt: 0, intervalMilliseconds: 0 }).catch(() => {})
+  await fleet.clock.advance(15_000)
+  const startOf = (job: string): number => fleet.starts(`${job}.0.0.0`)[0]?.at ?? Infinity
+  expect(startOf('cccc')).toBeLessThan(Infinity)
+  expect(startOf('bbbb')).toBeLessThan(startOf('cccc'))
+})
