Report calls that could not be made as unsent, and reject odd worker IDs

Cause: an error before anything of a request is sent (an ID that can't stand in a header, a closed client) was reported as unknown, and undici's pool of that address took no further request. A worker's ID is a key of the registry, where anybody may write. Change: what decides is whether the request had begun on a connection. IDs with other than printable ASCII characters make an entry unreadable. Shown by tests that fail before: kind `unknown` instead of `unsent`; the entry was listed.

--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -6,9 +6,6 @@
 import { CallError } from './call-error.js'
 import type { CallResponse } from './call-response.js'
 
-/** Codes of errors that occur before any byte of the request is sent. */
-const UNSENT_ERROR_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH'])
-
 /**
  * Collects the response of one request. Implements undici's dispatch handler, because the stream and the abort signal that
  * undici's `request` creates for each response cost an owner more processor time than the call itself.
@@ -27,7 +24,7 @@
   cancel (cause: string): void {
     if (this._isSettled) return
     // A request that still waits for a connection is aborted when it gets one, before anything of it is sent.
-    const cancellation = new CallError(this._controller ? 'unknown' : 'unsent', cause)
+    const cancellation = new CallError(this._errorKind, cause)
     this._cancellation = cancellation
     this._finish(Left(cancellation))
     this._controller?.abort(cancellation)
@@ -52,8 +49,12 @@
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
-    const { code, message } = error as NodeJS.ErrnoException
-    this._finish(Left(new CallError(UNSENT_ERROR_CODES.has(code ?? '') ? 'unsent' : 'unknown', message)))
+    this._finish(Left(new CallError(this._errorKind, error.message)))
+  }
+
+  /** Nothing of a request is sent before `onRequestStart`: not if there is no connection, or if the request can't be encoded. */
+  private get _errorKind (): CallError['kind'] {
+    return this._controller ? 'unknown' : 'unsent'
   }
 
   private _finish (result: Either<CallError, CallResponse>): void {
--- a/src/platform/worker-codec.ts
+++ b/src/platform/worker-codec.ts
@@ -18,10 +18,14 @@
   labels: z.array(z.string()).default([])
 })
 
+/** IDs that can stand in a header of a call to the worker. */
+const WORKER_ID = /^[\x21-\x7e]+$/
+
 /** An empty value removes the worker; an entry that can't be parsed becomes an `unreadable` change. */
 export class WorkerCodec {
   static decode ({ key: id, value }: KeyedRecord): Maybe<WorkerChange> {
     if (value.length === 0) return Just({ kind: 'removed', id })
+    if (!WORKER_ID.test(id)) return Just({ kind: 'unreadable', id, cause: 'the ID has characters other than printable ASCII' })
     return Just(parseJson(WireWorkerEntry, value).caseOf<WorkerChange>({
       Left: cause => ({ kind: 'unreadable', id, cause }),
       Right: entry => ({
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -168,12 +168,6 @@
     this._dispatcher.stop(worker, task.name, task.run)
   }
 
-  /** Treats runs as lost on workers whose lease has expired without renewal. */
-  expireLeases (): void {
-    const now = this._clock.now()
-    for (const worker of this._workers.all) if (worker.tasks.size > 0 && worker.leaseExpiresAt < now) this.allRunsLost(worker, 'lease expired')
-  }
-
   /** Wakes the placement task after a change, including one outside the schedule. */
   markChanged (): void {
     this._changeCount += 1
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -41,7 +41,7 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const now = this._clock.now()
-      this._schedule.expireLeases()
+      this._expireLeases(now)
       const changesBefore = this._schedule.changeCount
       if (this._viewFreshAt() > now - MAXIMUM_VIEW_AGE_MILLISECONDS) this._runRound(now)
       await this._clock.sleepUntil(now + this._pace.roundIntervalMilliseconds, signal).catch(() => {})
@@ -49,6 +49,11 @@
     }
   }
 
+  /** Treats runs as lost on workers whose lease has expired without renewal. */
+  private _expireLeases (now: number): void {
+    for (const worker of this._workers.all) if (worker.tasks.size > 0 && worker.leaseExpiresAt < now) this._schedule.allRunsLost(worker, 'lease expired')
+  }
+
   private _runRound (now: number): void {
     const startableSteps = this._startableSteps(now)
     if (startableSteps.length === 0) return
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -62,6 +62,12 @@
   for (const change of [{ service: 7 }, { address: 'nowhere' }, { zone: null }, { state: 'asleep' }, { capacity: 'large' }, { labels: [1] }]) expect(decodedKind(change)).toBe('unreadable')
 })
 
+test('a worker entry whose ID cannot stand in a header is unreadable', () => {
+  const entry = Buffer.from(JSON.stringify({ service: 's', address: '10.0.0.1:80', zone: 'z', state: 'ready', born: 1, capacity: { cpu: 1_000, mem_mb: 10 } }))
+  for (const key of ['i-1\nother: 2', 'i 1', '\u0000', 'ü', '']) expect(WorkerCodec.decode({ key, value: entry }).extract()).toMatchObject({ kind: 'unreadable' })
+  expect(WorkerCodec.decode({ key: 'i-1', value: entry }).extract()).toMatchObject({ kind: 'listed' })
+})
+
 test('omitted fields of a job have default values, and a step can only come after earlier ones', () => {
   const job = WireJob.parse({ spec: 's', steps: [{ count: 2, cpu: 500 }] })
   expect(job.steps[0]).toMatchObject({ count: 2, demand: { millicores: 500, memoryMegabytes: 0, accelerators: 0 }, after: [], isLasting: false, maximumPerWorker: 0 })
--- a/tests/platform-http-clients.test.ts
+++ b/tests/platform-http-clients.test.ts
@@ -126,6 +126,20 @@
   await httpClient.close()
 })
 
+test('a call that cannot be made, because of an invalid header or a closed client, is known to be unsent', async () => {
+  const server = createServer((_, response) => response.end('{}')).listen(0, '127.0.0.1')
+  cleanups.push(() => server.close())
+  await once(server, 'listening')
+  const connect = (): HttpClient => new HttpClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, 1, clock)
+  const call = (httpClient: HttpClient, headers: Record<string, string>): ReturnType<HttpClient['call']> => httpClient.call({ method: 'POST', path: '/', headers, body: {}, deadline: distantDeadline(), signal })
+  const first = connect()
+  expect((await call(first, { 'expect-instance': 'i-1\nother: 2' })).extract()).toMatchObject({ kind: 'unsent' })
+  const second = connect()
+  expect((await call(second, { 'expect-instance': 'i-1' })).isRight()).toBe(true)
+  for (const httpClient of [first, second]) await httpClient.close()
+  expect((await call(second, {})).extract()).toMatchObject({ kind: 'unsent' })
+})
+
 test('a call to an unserved address is known to be unsent, and one without a response has an unknown outcome', async () => {
   const unservedClient = new HttpClient('127.0.0.1:1', 1, clock)
   cleanups.push(() => { unservedClient.close().catch(() => {}) })
