Log postponed orders, and wait after a takeover only as long as needed

Cause: an order that isn't sent because the term may be over left no line. And a new owner waited up to 8.7 s for VMs ordered by an earlier one, although the allowance for jumps of clocks only matters when all processes have restarted. Change: log event 'order postponed'; the allowance is added only while no record of another owner has told the fleet time.

--- a/src/capacity/pool-sizing-task.ts
+++ b/src/capacity/pool-sizing-task.ts
@@ -175,7 +175,10 @@
     if (move.isInFlight || now < move.sentAt + RETRY_DELAY_MILLISECONDS) return
     move.isInFlight = true
     move.sentAt = now
-    this._locks.recordOrder(move.virtualMachine, () => this._send(move, signal), () => { move.isInFlight = false })
+    this._locks.recordOrder(move.virtualMachine, () => this._send(move, signal), () => {
+      move.isInFlight = false
+      this._log.emit('order postponed', { virtualMachine: move.virtualMachine, term: this._term, cause: 'the store has not confirmed the term recently' })
+    })
   }
 
   private _send (move: Move, signal: AbortSignal): void {
--- a/src/capacity/virtual-machine-locks.ts
+++ b/src/capacity/virtual-machine-locks.ts
@@ -57,8 +57,9 @@
     const order = this._jobTable.newestOrder(virtualMachine)
     if (!order || order.term === this._term) return true
     const gap = this._holderChangeMilliseconds + HOLDER_CHANGE_MARGIN_MILLISECONDS
-    // Either proof is enough: on this process's own clock, or by the time that the order carries, if it is so old that no jump of a clock accounts for it.
-    return this._clock.now() > this._predecessorLastContactAt + gap || this._fleetTime.now() > order.orderedAt + gap + MAXIMUM_CLOCK_JUMP_MILLISECONDS
+    // Either proof is enough: on this process's own clock, or by the time that the order carries, if this process knows the time of its writer.
+    const orderAge = this._fleetTime.now() - order.orderedAt
+    return this._clock.now() > this._predecessorLastContactAt + gap || orderAge > gap + (this._fleetTime.isShared ? 0 : MAXIMUM_CLOCK_JUMP_MILLISECONDS)
   }
 
   /**
--- a/src/jobs/fleet-time.ts
+++ b/src/jobs/fleet-time.ts
@@ -29,6 +29,11 @@
     return this.fromLocal(this._clock.now())
   }
 
+  /** Whether this process knows the fleet time of another owner, rather than its own wall clock at its start. */
+  get isShared (): boolean {
+    return this._observations.length > 0
+  }
+
   /** Converts a time on this process's clock. */
   fromLocal (time: number): number {
     return time + this._offset
