Read what has arrived before giving up a call or a lease

Node runs timers before it reads sockets, so that calls were given up whose responses had arrived, and runs were counted as lost and started again although their workers had reported them as done. Change: a call's deadline is acted on after the sockets have been read once; a lease counts as expired only if it still is one round after it was found so. Shown by a test with a server in a thread of its own and a process that is held up past the deadline: given up before.

--- a/src/platform/http-client.ts
+++ b/src/platform/http-client.ts
@@ -45,7 +45,8 @@
         resolve(result)
       })
       const abort = (): void => call.cancel('call was aborted')
-      const timer = setTimeout(() => call.cancel('no response by the deadline'), Math.max(1, deadline - this._clock.now()))
+      // Timers run before the sockets are read: a process that was held up reads what has arrived before it gives up.
+      const timer = setTimeout(() => setImmediate(() => call.cancel('no response by the deadline')), Math.max(1, deadline - this._clock.now()))
       signal.addEventListener('abort', abort, { once: true })
       const isBinary = Buffer.isBuffer(body)
       this._pool.dispatch({
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -29,6 +29,8 @@
 /** Runs placement rounds, one at a time, whenever the schedule has changed. */
 export class PlacementTask extends Task {
   override readonly name = 'placement'
+  /** Workers whose lease had expired in the last round. */
+  private _expiredWorkers: ReadonlySet<FleetWorker> = new Set()
 
   /** @param _viewFreshAt returns the epoch milliseconds as of which the journal and the configuration are known. */
   constructor (
@@ -51,7 +53,10 @@
 
   /** Treats runs as lost on workers whose lease has expired without renewal. */
   private _expireLeases (now: number): void {
-    for (const worker of this._workers.all) if (worker.tasks.size > 0 && worker.leaseExpiresAt < now) this._schedule.allRunsLost(worker, 'lease expired')
+    const expired = [...this._workers.all].filter(worker => worker.tasks.size > 0 && worker.leaseExpiresAt < now)
+    // A report may have arrived that this process, held up until now, reads before the next round.
+    for (const worker of expired) if (this._expiredWorkers.has(worker)) this._schedule.allRunsLost(worker, 'lease expired')
+    this._expiredWorkers = new Set(expired)
   }
 
   private _runRound (now: number): void {
--- a/tests/platform-http-clients.test.ts
+++ b/tests/platform-http-clients.test.ts
@@ -4,6 +4,7 @@
 import { once } from 'node:events'
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { Worker } from 'node:worker_threads'
 import { afterEach, expect, test } from 'vitest'
 import type { WorkerError } from '../src/scheduling/worker-error.js'
 import type { FeedError } from '../src/feeds/feed-error.js'
@@ -126,6 +127,24 @@
   await httpClient.close()
 })
 
+test('a response that arrives while the process is held up past the deadline is not given up', async () => {
+  const source = `
+    const { parentPort } = require('node:worker_threads')
+    const server = require('node:http').createServer((_, response) => setTimeout(() => response.end('{}'), 50))
+    server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port))`
+  const serverThread = new Worker(source, { eval: true })
+  cleanups.push(() => { serverThread.terminate().catch(() => {}) })
+  const [port] = await once(serverThread, 'message') as [number]
+  const httpClient = new HttpClient(`127.0.0.1:${port}`, 1, clock)
+  cleanups.push(() => { httpClient.close().catch(() => {}) })
+  expect((await httpClient.call({ method: 'POST', path: '/', body: {}, deadline: distantDeadline(), signal })).isRight()).toBe(true)
+  const response = httpClient.call({ method: 'POST', path: '/', body: {}, deadline: clock.now() + 200, signal })
+  // The request leaves first.
+  for (let turn = 0; turn < 3; turn++) await new Promise(resolve => setImmediate(resolve))
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1_000)
+  expect((await response).isRight()).toBe(true)
+})
+
 test('a call that cannot be made, because of an invalid header or a closed client, is known to be unsent', async () => {
   const server = createServer((_, response) => response.end('{}')).listen(0, '127.0.0.1')
   cleanups.push(() => server.close())
