Give responses more time while the owner is overloaded

Change: the time for responses to renewals and starts grows from 0.6 to 2.4 s with the utilization of the event loop. The worker's lease was extended by the same call, so that nothing lapses for it.

--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -99,7 +99,7 @@
     const writer = new DecisionWriterTask(this._decisionJournal, this._decisions, term, claim.sentAt, this._holder, this._fleetTime, onLost, clock, random, metrics)
     const dispatcher: SupervisedRunOrderDispatcher = new SupervisedRunOrderDispatcher(
       orders,
-      (task, worker) => new StartRunTask(task, worker, advice, schedule, dispatcher, onLost, clock, metrics),
+      (task, worker) => new StartRunTask(task, worker, advice, schedule, dispatcher, pace, onLost, clock, metrics),
       (worker, task, run) => new StopRunTask(worker, task, run, schedule, onLost, clock, random, log)
     )
     const advice: AdviceTask = new AdviceTask(this._advisor, () => schedule.markChanged(), clock, metrics, log)
--- a/src/scheduling/lease-renewal-task.ts
+++ b/src/scheduling/lease-renewal-task.ts
@@ -22,9 +22,6 @@
 /** The same for a worker without tasks, which has nothing to lose with its lease. */
 const IDLE_LONG_POLL_MILLISECONDS = 2_000
 
-/** Added to the long poll to form the deadline of a call. */
-const RESPONSE_MARGIN_MILLISECONDS = 600
-
 /** Timeout of the wait for the journal, after which the lease is renewed without acknowledging the new completions. */
 const JOURNAL_WAIT_MILLISECONDS = 700
 
@@ -62,7 +59,7 @@
     while (!signal.aborted && (worker.isListed || worker.tasks.size > 0)) {
       const requestedAt = this._clock.now()
       const longPollMilliseconds = this._longPollMilliseconds()
-      const responseDeadline = requestedAt + longPollMilliseconds + RESPONSE_MARGIN_MILLISECONDS
+      const responseDeadline = requestedAt + longPollMilliseconds + this._pace.responseMilliseconds
       worker.reportDueAt = responseDeadline
       const request = {
         leaseDeadline: this._mayRenewLease() ? worker.extendLeaseDeadline(requestedAt, this._leaseDurations.leaseMilliseconds) : null,
--- a/src/scheduling/owner-pace.ts
+++ b/src/scheduling/owner-pace.ts
@@ -9,6 +9,12 @@
 /** Time between the responses of one worker that reported completions, in milliseconds, at full pace and with no processor time left. */
 const RENEWAL_INTERVAL_MILLISECONDS = { least: 10, most: 240 } as const
 
+/**
+ * Time that a worker's response to a renewal or an order may take, in milliseconds, at full pace and with no processor time left. A response that
+ * is given up may have reported completions, which the worker counts as delivered.
+ */
+const RESPONSE_MILLISECONDS = { least: 600, most: 2_400 } as const
+
 /** Time between two placement rounds, in milliseconds, at full pace and with no processor time left. */
 const ROUND_INTERVAL_MILLISECONDS = { least: 10, most: 80 } as const
 
@@ -24,6 +30,11 @@
     return this._stretch(RENEWAL_INTERVAL_MILLISECONDS)
   }
 
+  /** Time that a worker's response may take, in milliseconds. */
+  get responseMilliseconds (): number {
+    return this._stretch(RESPONSE_MILLISECONDS)
+  }
+
   /** Least time between two placement rounds, in milliseconds. */
   get roundIntervalMilliseconds (): number {
     return this._stretch(ROUND_INTERVAL_MILLISECONDS)
--- a/src/scheduling/start-run-task.ts
+++ b/src/scheduling/start-run-task.ts
@@ -10,12 +10,10 @@
 import type { FleetSchedule } from './fleet-schedule.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { ScheduledTask } from './scheduled-task.js'
+import type { OwnerPace } from './owner-pace.js'
 import type { RunOrderDispatcher } from './run-order-dispatcher.js'
 import type { WorkerError } from './worker-error.js'
 
-/** A reachable worker responds within a few milliseconds. */
-const START_TIMEOUT_MILLISECONDS = 600
-
 /**
  * Sends the start order once. If there is no response, the run is stopped, so that it cannot start late. Shutdown of
  * the owner does not abort the order: an aborted start would waste the run if the worker had accepted it.
@@ -26,7 +24,7 @@
   /** @param _onFenced called when the worker has seen a higher fencing token. */
   constructor (
     private readonly _task: ScheduledTask, private readonly _worker: FleetWorker, private readonly _advice: AdviceTask,
-    private readonly _schedule: FleetSchedule, private readonly _dispatcher: RunOrderDispatcher, private readonly _onFenced: (cause: string) => void,
+    private readonly _schedule: FleetSchedule, private readonly _dispatcher: RunOrderDispatcher, private readonly _pace: OwnerPace, private readonly _onFenced: (cause: string) => void,
     private readonly _clock: Clock, private readonly _metrics: Metrics
   ) {
     super()
@@ -39,7 +37,7 @@
     const order = { task: name, run, specification: task.step.job.view.submission.specification, checkpoint: task.checkpoint, ticket: this._advice.ticket(task.step, worker) ?? '' }
     const span = trace.getTracer('samphireglade').startSpan('start run', { attributes: { task: name, run, worker: worker.entry.id } }, context.active())
     const sentAt = this._clock.now()
-    const response = client ? await client.start(order, worker.leaseDeadline, sentAt + START_TIMEOUT_MILLISECONDS, NEVER_ABORTED) : null
+    const response = client ? await client.start(order, worker.leaseDeadline, sentAt + this._pace.responseMilliseconds, NEVER_ABORTED) : null
     this._metrics.timing('runs.start.milliseconds', this._clock.now() - sentAt)
     if (response?.isLeft()) span.setStatus({ code: SpanStatusCode.ERROR })
     span.end()
--- a/tests/owner-cost.test.ts
+++ b/tests/owner-cost.test.ts
@@ -70,3 +70,15 @@
   expect(await fleet.state('one', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
   expect(silent?.starts).toEqual([])
 })
+
+test('an owner without processor time to spare does not give up a response that is late because of that', async () => {
+  const fleet = await EmulatedFleet.create(3, ['one'])
+  const node = fleet.nodes.get('one')
+  if (node) node.load.utilization = 1
+  fleet.emulator.faults.startLatencyMilliseconds = 1_500
+  await fleet.submit('one', 'aaaa', [{ count: 6 }])
+  await fleet.clock.advance(8_000)
+  expect(await fleet.state('one', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+  expect(node?.log.fieldsOf('start unsettled')).toEqual([])
+  for (let index = 0; index < 6; index++) expect(fleet.starts(`aaaa.0.0.${index}`)).toHaveLength(1)
+})
