Let only other owners' records tell the fleet time

Cause: found in reading. A new owner reads its own claim, and so believed that it knew the time of earlier owners; after a restart of all processes it then trusted the time of an order that another wall clock had written. The allowance of 5 s also counted one clock only. Change: a process's own records tell it nothing; two wall clocks may differ by 10 s.

--- a/src/capacity/virtual-machine-locks.ts
+++ b/src/capacity/virtual-machine-locks.ts
@@ -12,8 +12,8 @@
 /** Margin on top of the minimum time between orders of two owners, in milliseconds: clocks differ, and an earlier order may still have been in flight. */
 const HOLDER_CHANGE_MARGIN_MILLISECONDS = 700
 
-/** Jumps of the time of day that are expected, in milliseconds: when all processes have restarted, fleet time continues from a wall clock. */
-const MAXIMUM_CLOCK_JUMP_MILLISECONDS = 5_000
+/** How far two wall clocks may differ, in milliseconds, each being off by 5 s: when all processes have restarted, fleet time continues from another wall clock. */
+const MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS = 10_000
 
 /** Age of the store's last confirmation of the term up to which orders are sent, in milliseconds; below the silence after which another process claims the next term. */
 const MAXIMUM_CONFIRMATION_AGE_MILLISECONDS = 1_000
@@ -59,7 +59,7 @@
     const gap = this._holderChangeMilliseconds + HOLDER_CHANGE_MARGIN_MILLISECONDS
     // Either proof is enough: on this process's own clock, or by the time that the order carries, if this process knows the time of its writer.
     const orderAge = this._fleetTime.now() - order.orderedAt
-    return this._clock.now() > this._predecessorLastContactAt + gap || orderAge > gap + (this._fleetTime.isShared ? 0 : MAXIMUM_CLOCK_JUMP_MILLISECONDS)
+    return this._clock.now() > this._predecessorLastContactAt + gap || orderAge > gap + (this._fleetTime.isShared ? 0 : MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS)
   }
 
   /**
--- a/src/jobs/fleet-time.ts
+++ b/src/jobs/fleet-time.ts
@@ -22,7 +22,8 @@
   private _comparisons: number[] = []
   private _comparedAt = -Infinity
 
-  constructor (private readonly _clock: Clock) {}
+  /** @param _holder name of this incarnation of the process, whose own records tell it nothing. */
+  constructor (private readonly _clock: Clock, private readonly _holder: string) {}
 
   /** Fleet time, in milliseconds. */
   now (): number {
@@ -62,8 +63,9 @@
     this._comparisons = [...this._comparisons.slice(1 - MAXIMUM_COMPARISONS), this._clock.timeOfDay() - now]
   }
 
-  /** Records the fleet time that a record just read was written at. The record that was least delayed since then is the most accurate. */
-  observe (writtenAt: number): void {
+  /** Records the fleet time at which `holder` wrote a record that was just read. The record that was least delayed since then is the most accurate. */
+  observe (writtenAt: number, holder: string): void {
+    if (holder === this._holder) return
     const now = this._clock.now()
     this._observations = [...this._observations.filter(({ at }) => at > now - OBSERVATION_LIFETIME_MILLISECONDS), { offset: writtenAt - now, at: now }]
     this._offset = Math.max(...this._observations.map(({ offset }) => offset))
--- a/src/jobs/journal-follower-task.ts
+++ b/src/jobs/journal-follower-task.ts
@@ -71,7 +71,7 @@
   protected override apply ({ value, offset }: FeedChange<JournalRecord>): void {
     const { ownerRecordCount } = this.jobTable
     // A record that is loaded may be old.
-    if (value.kind === 'term' && !this._isReloading) this._fleetTime.observe(value.at)
+    if (value.kind === 'term' && !this._isReloading) this._fleetTime.observe(value.at, value.holder)
     this._fleetTime.compareWithTimeOfDay()
     this.jobTable.apply(value, offset)
     if (this.jobTable.ownerRecordCount !== ownerRecordCount) this._ownerLastContactAt = this.clock.now()
--- a/src/main/node-tree.ts
+++ b/src/main/node-tree.ts
@@ -84,7 +84,7 @@
     const operatorFeed = new TopicFeed(new KeyedTopic(this._storeClient, OPERATOR_TOPIC, _clock), record => OperatorCodec.decode(record))
     this.configuration = new ConfigurationFollowerTask(operatorFeed, _clock, _random, _metrics, _log)
     const jobTable = new JobTable()
-    this._fleetTime = new FleetTime(_clock)
+    this._fleetTime = new FleetTime(_clock, this._holder)
     this.decisions = new JournalFollowerTask('decisions', jobTable, this._fleetTime, this._decisionJournal, _clock, _random, _metrics, _log)
     this.submissions = new JournalFollowerTask('submissions', jobTable, this._fleetTime, this._submissionJournal, _clock, _random, _metrics, _log)
     this._submissionWriter = new SubmissionWriterTask(this._submissionJournal, _clock, _random, _metrics)
--- a/tests/clock-jumps.test.ts
+++ b/tests/clock-jumps.test.ts
@@ -115,3 +115,19 @@
   }
   expect(new Set(arrivedOrders.map(({ virtualMachine }) => virtualMachine)).size).toBe(3)
 })
+
+test('after a restart of all processes whose clocks were behind, an owner whose clock is ahead orders nothing for a VM within the bound', async () => {
+  const fleet = await startFleet([-JUMP, -JUMP])
+  fleet.emulator.publish('wave/1', { wave: 1, machines: ['m-0', 'm-1', 'm-2'], duration_s: 60, max_count: 1 })
+  const { arrivedOrders } = fleet.emulator.virtualMachines
+  while (arrivedOrders.length === 0) await fleet.clock.advance(10)
+  for (const name of [...fleet.nodes.keys()]) fleet.kill(name)
+  for (const name of ['three', 'four']) fleet.start(name, {}, JUMP)
+  await fleet.clock.advance(25_000)
+  for (const [index, order] of arrivedOrders.entries()) {
+    for (const earlier of arrivedOrders.slice(0, index)) {
+      if (earlier.virtualMachine === order.virtualMachine && earlier.holder !== order.holder) expect(order.executedAt - earlier.executedAt).toBeGreaterThanOrEqual(3_000)
+    }
+  }
+  expect(new Set(arrivedOrders.map(({ virtualMachine }) => virtualMachine)).size).toBe(3)
+})
