Place nothing on a worker that has stopped responding

Change: after a failed call only a report makes a worker reachable. Shown by a test: the runs of a silent worker started elsewhere as run 4 after two starts that went nowhere; as run 2 now.

--- a/src/scheduling/lease-renewal-task.ts
+++ b/src/scheduling/lease-renewal-task.ts
@@ -60,7 +60,8 @@
       const requestedAt = this._clock.now()
       const longPollMilliseconds = this._longPollMilliseconds()
       const responseDeadline = requestedAt + longPollMilliseconds + this._pace.responseMilliseconds
-      worker.reportDueAt = responseDeadline
+      // After a failed call only a report makes the worker reachable again.
+      worker.reportDueAt = this._consecutiveFailures > 0 ? 0 : responseDeadline
       const request = {
         leaseDeadline: this._mayRenewLease() ? worker.extendLeaseDeadline(requestedAt, this._leaseDurations.leaseMilliseconds) : null,
         // After a failed call another incarnation may respond, whose completions reuse the same sequence numbers.
--- a/tests/reported-failures.test.ts
+++ b/tests/reported-failures.test.ts
@@ -19,6 +19,18 @@
   for (let index = 0; index < 6; index++) expect(fleet.starts(`aaaa.0.0.${index}`)).toHaveLength(1)
 })
 
+test('a worker that does not respond gets no run while its lease expires, and its runs start once elsewhere', async () => {
+  const fleet = await EmulatedFleet.create(2, ['one', 'two'])
+  for (let index = 0; index < 4; index++) fleet.outcomesByTask.set(`aaaa.0.0.${index}`, { milliseconds: 20_000, result: 'done' })
+  await fleet.submit('one', 'aaaa', [{ count: 4 }])
+  await fleet.clock.advance(1_000)
+  const silent = fleet.emulator.workerIncarnations.find(({ running }) => running.length > 0)
+  if (silent) silent.isDisconnected = true
+  await fleet.clock.advance(30_000)
+  for (let index = 0; index < 4; index++) expect(fleet.starts(`aaaa.0.0.${index}`).map(({ run }) => run)).toEqual([1, 2])
+  expect(fleet.nodes.get(fleet.owner())?.log.fieldsOf('start unsettled')).toEqual([])
+})
+
 test('a worker whose registry entry disappears while it responds keeps its runs', async () => {
   const fleet = await EmulatedFleet.create(2, ['one', 'two'])
   fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: 12_000, result: 'done' })
