--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -46,6 +46,7 @@
 import { UrgencyPlacementPolicy } from '../scheduling/urgency-placement-policy.js'
 import { WorkerRegistryFollowerTask } from '../scheduling/worker-registry-follower-task.js'
 import { LeaseRenewalTask } from '../scheduling/lease-renewal-task.js'
+import { WorkerLossHandler } from '../scheduling/worker-loss-handler.js'
 import { WorkerTable } from '../scheduling/worker-table.js'
 import type { FleetTimings } from '../scheduling/fleet-timings.js'
 import type { NodeSettings } from '../settings/node-settings.js'
@@ -107,15 +108,16 @@
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
     const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, this._fleetTime, clock, metrics, log)
-    const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, clock, metrics, log)
+    const losses = new WorkerLossHandler(schedule, metrics, log)
+    const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock), record => WorkerCodec.decode(record))
     const workerRegistry = new WorkerRegistryFollowerTask(
       workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(this._dialer), term,
-      worker => new LeaseRenewalTask(worker, schedule, workerTable, reconciler, writer, leaseDurations, pace, onLost, clock, random, metrics, log),
+      worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseDurations, pace, onLost, clock, random, metrics, log),
       workerFeed, clock, random, metrics, log
     )
     const placement = new PlacementTask(
-      schedule, scheduledJobs, workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, pace,
+      schedule, scheduledJobs, workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
     const takeover = new TakeoverTask(jobTable, workerRegistry, schedule, placement, clock)
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -48,8 +48,8 @@
     this._finish(Right({ status: this._status, body: this._chunks.length === 1 && first ? first : Buffer.concat(this._chunks) }))
   }
 
-  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
-    this._finish(Left(new CallError(this._errorKind, error.message)))
+  onResponseError (_controller: Dispatcher.DispatchController, error: NodeJS.ErrnoException): void {
+    this._finish(Left(new CallError(this._errorKind, error.message, error.code === 'ECONNREFUSED')))
   }
 
   /** Nothing of a request is sent before `onRequestStart`: not if there is no connection, or if the request can't be encoded. */
--- a/src/platform/http-worker-client.ts
+++ b/src/platform/http-worker-client.ts
@@ -9,6 +9,7 @@
 import { WorkerError } from '../scheduling/worker-error.js'
 import type { WorkerReport } from '../scheduling/worker-report.js'
 import type { CallClient } from './call-client.js'
+import type { CallError } from './call-error.js'
 import { parseJson } from './parse-json.js'
 
 /** Error kinds for the reasons given with status 409. */
@@ -79,8 +80,8 @@
   private async _call (operation: string, body: object, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, Buffer>> {
     const response = await this._client.call({ method: 'POST', path: `/samphireglade/${operation}`, headers: this._headers, body, deadline, signal })
     if (response.isLeft()) {
-      const failure = response.extract() as Error & { kind: 'unsent' | 'unknown' }
-      return Left(new WorkerError(failure.kind, failure.message))
+      const failure = response.extract() as CallError
+      return Left(new WorkerError(failure.kind, failure.message, failure.isConnectionRefused))
     }
     const { status, body: responseBody } = response.unsafeCoerce()
     if (status === 200) return Right(responseBody)
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -98,13 +98,6 @@
     this._requeue(task)
   }
 
-  /** Treats all runs on a worker as lost. */
-  allRunsLost (worker: FleetWorker, cause: string): void {
-    if (worker.tasks.size === 0) return
-    this._log.emit('runs lost', { worker: worker.entry.id, runs: worker.tasks.size, cause, heardAt: worker.lastReportAt })
-    for (const task of [...worker.tasks]) this.runLost(task, cause)
-  }
-
   /** Places a task on a worker; the start order is sent once the decision is durable. Members of a gang share a run number. */
   place (task: ScheduledTask, worker: FleetWorker, run = task.run + 1): void {
     task.phase = 'placed'
@@ -113,6 +106,7 @@
     task.incarnation = worker.entry.incarnation
     task.runState = 'intended'
     task.confirmedAt = Infinity
+    task.startOrderedAt = 0
     task.progressPercent = 0
     task.speedPercent = 100
     task.isStopOrdered = false
@@ -193,6 +187,7 @@
       return
     }
     task.runState = 'starting'
+    task.startOrderedAt = this._clock.now()
     this._metrics.count('runs.started')
     this._dispatcher.start(task, worker)
   }
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -41,6 +41,10 @@
   lastReportAt = 0
   /** Epoch milliseconds by which the next report must have arrived; 0 after a failed call. Past it, the worker gets nothing new. */
   reportDueAt = 0
+  /** Epoch milliseconds of the first failed call since the last report; 0 if none has failed. */
+  unreachableSince = 0
+  /** Whether a connection to the worker has been refused since the last report: nothing listens at its address, or a network device says so. */
+  refusesConnections = false
   /** Lower bound on the worker's clock at `lastReportAt`. */
   private _workerClockAtReport = 0
   /** Latest lease deadline that may have reached the worker, on the worker's clock. */
@@ -59,6 +63,11 @@
     return this.entry.labels[1] ?? ''
   }
 
+  /** Whether the worker's end is planned: it is shutting down, or its VM is about to be moved or maintained. */
+  get isLeaving (): boolean {
+    return this.entry.isDraining || this.isCordoned
+  }
+
   /** Resources without a reservation. */
   get available (): Resources {
     return addResources(this.entry.capacity, this._reserved, -1)
@@ -96,6 +105,13 @@
   recordReport (workerClock: number, now: number): void {
     this._workerClockAtReport = workerClock
     this.lastReportAt = now
+    this._clearFailedCalls()
+  }
+
+  /** Records a failed call. */
+  recordFailedCall (isConnectionRefused: boolean, now: number): void {
+    if (this.unreachableSince === 0) this.unreachableSince = now
+    if (isConnectionRefused) this.refusesConnections = true
   }
 
   /**
@@ -111,6 +127,7 @@
     this.lastReportAt = 0
     this.acknowledgedSequence = 0
     this.appliedSequence = 0
+    this._clearFailedCalls()
   }
 
   /** Extends the lease deadline to be requested and returns it, on the worker's clock; null while that clock is unknown. */
@@ -126,4 +143,9 @@
     const ownLeaseExpiresAt = this.lastReportAt + Math.max(0, this._leaseDeadline - this._workerClockAtReport) / SLOWEST_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MILLISECONDS
     return Math.max(ownLeaseExpiresAt, this._unknownLeasesExpireAt)
   }
+
+  private _clearFailedCalls (): void {
+    this.unreachableSince = 0
+    this.refusesConnections = false
+  }
 }
--- a/src/scheduling/lease-renewal-task.ts
+++ b/src/scheduling/lease-renewal-task.ts
@@ -8,12 +8,12 @@
 import type { RandomSource } from '../supervision/random-source.js'
 import { Task } from '../supervision/task.js'
 import type { DecisionWriterTask } from './decision-writer-task.js'
-import type { FleetSchedule } from './fleet-schedule.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { LeaseDurations } from './lease-durations.js'
 import type { OwnerPace } from './owner-pace.js'
 import type { WorkerReconciler } from './worker-reconciler.js'
 import type { WorkerError } from './worker-error.js'
+import type { WorkerLossHandler } from './worker-loss-handler.js'
 import type { WorkerTable } from './worker-table.js'
 
 /** Time for which a worker with tasks may delay its response until a run completes: a third of the shortest lease in use. */
@@ -41,7 +41,7 @@
 
   /** @param _onFenced called when the worker has seen a higher fencing token. */
   constructor (
-    private readonly _worker: FleetWorker, private readonly _schedule: FleetSchedule, private readonly _workers: WorkerTable, private readonly _reconciler: WorkerReconciler, private readonly _writer: DecisionWriterTask,
+    private readonly _worker: FleetWorker, private readonly _losses: WorkerLossHandler, private readonly _workers: WorkerTable, private readonly _reconciler: WorkerReconciler, private readonly _writer: DecisionWriterTask,
     private readonly _leaseDurations: LeaseDurations, private readonly _pace: OwnerPace, private readonly _onFenced: (cause: string) => void,
     private readonly _clock: Clock, random: RandomSource, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
@@ -129,6 +129,7 @@
     this._metrics.count('workers.hold_failures', 1, error.kind)
     this._consecutiveFailures += 1
     worker.reportDueAt = 0
+    worker.recordFailedCall(error.isConnectionRefused, this._clock.now())
     if (this._consecutiveFailures === FAILURES_UNTIL_UNREACHABLE) this._log.emit('worker unreachable', { worker: worker.entry.id, cause: error.message, heardAt: worker.lastReportAt, lapsesAt: worker.leaseExpiresAt })
     if (error.kind === 'fenced') {
       this._onFenced(`worker ${worker.entry.id}: ${error.message}`)
@@ -136,7 +137,7 @@
     }
     if (error.kind === 'replaced') {
       // The address belongs to another worker or incarnation now; this one has ended.
-      this._schedule.allRunsLost(worker, 'replaced')
+      this._losses.incarnationEnded(worker, 'replaced', [...worker.tasks])
       worker.isListed = false
       this._workers.removeIfIdle(worker)
       return false
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -18,6 +18,7 @@
 import type { OwnerPace } from './owner-pace.js'
 import type { PlacementPolicy } from './placement-policy.js'
 import type { ResourceReservations } from './resource-reservations.js'
+import type { WorkerLossHandler } from './worker-loss-handler.js'
 import type { WorkerTable } from './worker-table.js'
 
 /** Bounds how late a round notices expired leases and due steps, which cause no notification. */
@@ -34,7 +35,7 @@
 
   /** @param _viewFreshAt returns the epoch milliseconds as of which the journal and the configuration are known. */
   constructor (
-    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _pace: OwnerPace,
+    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _losses: WorkerLossHandler, private readonly _pace: OwnerPace,
     private readonly _viewFreshAt: () => number, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -55,7 +56,7 @@
   private _expireLeases (now: number): void {
     const expired = [...this._workers.all].filter(worker => worker.tasks.size > 0 && worker.leaseExpiresAt < now)
     // A report may have arrived that this process, held up until now, reads before the next round.
-    for (const worker of expired) if (this._expiredWorkers.has(worker)) this._schedule.allRunsLost(worker, 'lease expired')
+    for (const worker of expired) if (this._expiredWorkers.has(worker)) this._losses.leaseExpired(worker)
     this._expiredWorkers = new Set(expired)
   }
 
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -28,6 +28,8 @@
   runState: RunState = 'inherited'
   /** Epoch milliseconds after which a report without the run proves that the run does not exist; Infinity while unknown. */
   confirmedAt = Infinity
+  /** Epoch milliseconds at which the start order of the current run was sent; 0 if another owner sent it, or nobody yet. */
+  startOrderedAt = 0
   /** Progress or readiness that the worker last reported. */
   progressPercent = 0
   /** Load that the worker last reported: milliseconds of response time for a serving task, millicores in use for others. */
--- a/src/scheduling/worker-error.ts
+++ b/src/scheduling/worker-error.ts
@@ -10,8 +10,10 @@
    * `outdated`: a run of the task with the same or a higher number has ended there; `late`: the lease deadline has passed on the worker's
    * clock; `room`: not enough resources are available; `ticket`: the ticket is missing or invalid; `unhealthy`: refused without
    * any effect; `invalid`: the request or the response was not understood.
+   *
+   * @param isConnectionRefused whether nothing listens at the worker's address.
    */
-  constructor (readonly kind: 'unknown' | 'unsent' | 'fenced' | 'replaced' | 'outdated' | 'late' | 'room' | 'ticket' | 'unhealthy' | 'invalid', message: string) {
+  constructor (readonly kind: 'unknown' | 'unsent' | 'fenced' | 'replaced' | 'outdated' | 'late' | 'room' | 'ticket' | 'unhealthy' | 'invalid', message: string, readonly isConnectionRefused = false) {
     super(message)
     this.name = 'WorkerError'
   }
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -10,6 +10,7 @@
 import type { ScheduledTask } from './scheduled-task.js'
 import type { RunOrderDispatcher } from './run-order-dispatcher.js'
 import type { WorkerEntry } from './worker-entry.js'
+import type { WorkerLossHandler } from './worker-loss-handler.js'
 import type { WorkerReport } from './worker-report.js'
 import type { WorkerTable } from './worker-table.js'
 
@@ -25,7 +26,7 @@
 export class WorkerReconciler {
   constructor (
     private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _dispatcher: RunOrderDispatcher,
-    private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
+    private readonly _losses: WorkerLossHandler, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {}
 
   /** Applies a registry entry. A newer incarnation of a known worker has none of the runs of the previous one. */
@@ -115,12 +116,13 @@
   /** Switches a worker to a new incarnation, in which only runs started since its restart exist. */
   private _startIncarnation (worker: FleetWorker, incarnation: number, running: readonly ActiveRun[]): void {
     this._log.emit('worker restarted', { worker: worker.entry.id, from: worker.entry.incarnation, to: incarnation, runs: worker.tasks.size })
-    worker.startIncarnation(incarnation, this._workers.unknownLeasesExpireAt)
-    for (const task of [...worker.tasks]) {
+    const lost = [...worker.tasks].filter(task => {
       const isReported = running.some(activeRun => activeRun.task === task.name && activeRun.run === task.run)
-      if (isReported || task.runState === 'starting' || task.runState === 'settling') task.incarnation = incarnation
-      else if (task.runState !== 'intended') this._schedule.runLost(task, 'worker restarted')
-    }
+      return !isReported && task.runState !== 'starting' && task.runState !== 'settling' && task.runState !== 'intended'
+    })
+    this._losses.incarnationEnded(worker, 'worker restarted', lost)
+    worker.startIncarnation(incarnation, this._workers.unknownLeasesExpireAt)
+    for (const task of worker.tasks) if (task.runState !== 'intended') task.incarnation = incarnation
     this._schedule.markChanged()
   }
 }
