--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -11,14 +11,15 @@
   readonly startedAt: number
   /** Epoch milliseconds at which the run completes by itself; Infinity for a lasting task. */
   readonly completesAt: number
-  readonly result: 'done' | 'failed'
+  readonly result: RunOutcome['result']
 }
 
 /** Duration and result of a run, chosen when it starts. */
 interface RunOutcome {
   /** Duration of the run; Infinity for a lasting task. */
   readonly milliseconds: number
-  readonly result: 'done' | 'failed'
+  /** `crash`: the run crashes the worker. */
+  readonly result: 'done' | 'failed' | 'crash'
 }
 
 /** Reading of a worker's clock when it starts, in milliseconds. */
@@ -39,6 +40,12 @@
   isTerminated = false
   /** Rate of the worker's clock relative to the true clock. */
   clockRate = 1
+  /** Resources that the worker reports in its registry entry. */
+  capacity = { cpu: 64_000, mem_mb: 131_072 }
+  /** Time that a stop takes, in milliseconds. */
+  stopMilliseconds = 0
+  /** Called when a run crashes the worker. */
+  onCrash: () => void = () => {}
   /** All runs started, for checks. */
   readonly starts: { task: string, run: number, startedAt: number }[] = []
   /** All run completions; `acknowledgedAt` is Infinity until the completion is acknowledged. */
@@ -77,6 +84,7 @@
     for (const { task, run } of this._runs.values()) this.completions.push({ task, run, result: 'killed', completedAt: this._clock.now(), acknowledgedAt: Infinity })
     this._runs.clear()
     this.isTerminated = true
+    this._changed.notify()
   }
 
   /** Executes a call and returns the status and body of its response. */
@@ -105,13 +113,16 @@
     const startedAt = this._clock.now()
     this._runs.set(task, { task, run, startedAt, completesAt: startedAt + milliseconds, result })
     this.starts.push({ task, run, startedAt })
+    if (result === 'crash') this._crashAt(startedAt + milliseconds, task, run)
     this._changed.notify()
     return { status: 200, body: { clock_ms: this.clockMilliseconds } }
   }
 
   private _stopRun (task: string, run: number): { status: number, body: object } {
     this._highestRuns.set(task, Math.max(this._highestRuns.get(task) ?? 0, run))
-    if (this._runs.get(task)?.run === run) this._complete(task, 'stopped', this._clock.now())
+    if (this._runs.get(task)?.run !== run) return { status: 200, body: { clock_ms: this.clockMilliseconds } }
+    if (this.stopMilliseconds === 0) this._complete(task, 'stopped', this._clock.now())
+    else this._completeStop(task, run).catch(() => {})
     return { status: 200, body: { clock_ms: this.clockMilliseconds } }
   }
 
@@ -123,7 +134,7 @@
     }
     this._unacknowledgedCompletions = this._unacknowledgedCompletions.filter(([number]) => number > acknowledged)
     const waitDeadline = this._clock.now() + waitMilliseconds
-    while (this._unacknowledgedCompletions.length === 0 && this._clock.now() < waitDeadline) {
+    while (this._unacknowledgedCompletions.length === 0 && !this.isTerminated && this._clock.now() < waitDeadline) {
       // Lease expiry matters only while a run is active.
       const nextEventAt = Math.min(waitDeadline, ...this._runs.size > 0 ? [this._leaseExpiresAt()] : [], ...[...this._runs.values()].map(({ completesAt }) => completesAt))
       await this._changed.wait(this._clock, nextEventAt)
@@ -153,7 +164,7 @@
     const now = this._clock.now()
     const leaseExpiredAt = now - Math.max(0, this.clockMilliseconds - this._leaseDeadline) / this.clockRate
     for (const { task, completesAt, result } of [...this._runs.values()]) {
-      if (completesAt <= Math.min(now, leaseExpiredAt)) this._complete(task, result, completesAt)
+      if (result !== 'crash' && completesAt <= Math.min(now, leaseExpiredAt)) this._complete(task, result, completesAt)
       else if (this.clockMilliseconds >= this._leaseDeadline) this._complete(task, 'lapsed', leaseExpiredAt)
     }
   }
@@ -167,6 +178,17 @@
     this._changed.notify()
   }
 
+  private async _completeStop (task: string, run: number): Promise<void> {
+    await this._clock.sleepUntil(this._clock.now() + this.stopMilliseconds)
+    if (this._runs.get(task)?.run === run) this._complete(task, 'stopped', this._clock.now())
+  }
+
+  private _crashAt (crashesAt: number, task: string, run: number): void {
+    this._clock.sleepUntil(crashesAt).then(() => {
+      if (!this.isTerminated && this._runs.get(task)?.run === run) this.onCrash()
+    }).catch(() => {})
+  }
+
   private _refuse (reason: string): { status: number, body: object } {
     return { status: 409, body: { clock_ms: this.clockMilliseconds, reason } }
   }
--- a/stand-ins/emulator/emulator-dialer.ts
+++ b/stand-ins/emulator/emulator-dialer.ts
@@ -8,6 +8,9 @@
 import type { Clock } from '../../src/supervision/clock.js'
 import type { PlatformEmulator } from './platform-emulator.js'
 
+/** Time that a refused connection takes, in milliseconds; above zero so that time passes for a caller that repeats calls in a loop. */
+const CONNECTION_LATENCY_MILLISECONDS = 1
+
 /** Client that calls the emulator directly and measures deadlines on the given clock. */
 class EmulatorClient extends CallClient {
   constructor (private readonly _emulator: PlatformEmulator, private readonly _caller: string, private readonly _address: string, private readonly _clock: Clock, private readonly _untilRunning: () => Promise<void>) {
@@ -16,14 +19,22 @@
 
   override async call ({ path, headers = {}, body, deadline, signal }: Parameters<CallClient['call']>[0]): ReturnType<CallClient['call']> {
     const bytes = body === undefined ? Buffer.alloc(0) : Buffer.isBuffer(body) ? body : Buffer.from(JSON.stringify(body))
+    if (this._emulator.refusesConnections(this._address)) return this._refuse()
     const responded = this._emulator.handle({ caller: this._caller, address: this._address, path, headers, body: bytes, isAborted: () => signal.aborted })
     const expired = this._clock.sleepUntil(deadline, signal).then(() => null, () => null)
-    // The emulator returns null for a call without a response; the caller then waits until its deadline.
-    const response = await Promise.race([responded.then(result => result ?? expired), expired])
+    // The emulator returns null for a call without a response; the caller then waits until its deadline, unless the connection is reset.
+    const response = await Promise.race([responded.then(result => result ?? (this._emulator.refusesConnections(this._address) ? null : expired)), expired])
     await this._untilRunning()
+    if (!response && this._emulator.refusesConnections(this._address)) return Left(new CallError('unknown', 'connection reset'))
     return response ? Right(response) : Left(new CallError('unknown', 'no response'))
   }
 
+  private async _refuse (): ReturnType<CallClient['call']> {
+    await this._clock.sleepUntil(this._clock.now() + CONNECTION_LATENCY_MILLISECONDS)
+    await this._untilRunning()
+    return Left(new CallError('unsent', 'connection refused', true))
+  }
+
   override async close (): Promise<void> {}
 }
 
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -40,6 +40,13 @@
   /** Delay of a late start, in milliseconds. */
   lateStartMilliseconds = 3_000
 
+  /** Addresses at which connections are refused although a worker is there. */
+  readonly refusedAddresses = new Set<string>()
+  /** Time after which a worker that a run has crashed is back, in milliseconds. */
+  crashDowntimeMilliseconds = 3_000
+  /** Whether such a worker is back under its ID; otherwise another worker is at its address. */
+  keepsIdAfterCrash = false
+
   /** Returns whether the next start is late, and counts it. */
   consumeLateStart (): boolean {
     if (this.lateStarts === 0) return false
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -7,6 +7,7 @@
 import { EmulatedWorker } from './emulated-worker.js'
 import { EmulatorFaults } from './emulator-faults.js'
 import { RateLimiter } from './rate-limiter.js'
+import { workerRegistryEntry } from './worker-registry-entry.js'
 
 /** Addresses of the platform's services. */
 const STORE_ADDRESS = '10.9.0.1:8344'
@@ -58,6 +59,8 @@
   readonly storeReads = new Map<string, number>()
   /** Current incarnation of each worker, by address. */
   private readonly _workersByAddress = new Map<string, EmulatedWorker>()
+  /** Addresses of workers that have ended. */
+  private readonly _formerAddresses = new Set<string>()
   private readonly _listLimiter: RateLimiter
   private readonly _orderLimiter: RateLimiter
   private _workerCount = 0
@@ -111,16 +114,16 @@
 
   /** Terminates a worker and deletes its registry entry at once, as a graceful shutdown does. */
   shutDown (worker: EmulatedWorker): void {
-    worker.terminate()
-    this._workersByAddress.delete(worker.address)
+    this._terminate(worker)
     this.store.put('keyed.servers', worker.id, null)
   }
 
   /** Terminates a worker without notice; its registry entry expires later. */
   crash (worker: EmulatedWorker): void {
-    worker.terminate()
-    this._workersByAddress.delete(worker.address)
-    this._clock.sleepUntil(this._clock.now() + WORKER_ENTRY_EXPIRY_MILLISECONDS).then(() => this.store.put('keyed.servers', worker.id, null)).catch(() => {})
+    this._terminate(worker)
+    this._clock.sleepUntil(this._clock.now() + WORKER_ENTRY_EXPIRY_MILLISECONDS).then(() => {
+      if (this._workersByAddress.get(worker.address)?.id !== worker.id) this.store.put('keyed.servers', worker.id, null)
+    }).catch(() => {})
   }
 
   /** Whether a worker is still the current one of its VM. */
@@ -135,6 +138,17 @@
     return restarted
   }
 
+  /** Whether connections to an address are refused: by a fault, or because it was a worker's and no worker is there now. */
+  refusesConnections (address: string): boolean {
+    return this.faults.refusedAddresses.has(address) || (this._formerAddresses.has(address) && !this._workersByAddress.has(address))
+  }
+
+  /** Changes the capacity of a worker, as its registry entry shows it. */
+  resize (worker: EmulatedWorker, capacity: EmulatedWorker['capacity']): void {
+    worker.capacity = capacity
+    this._register(worker)
+  }
+
   /** Executes a request; returns null if the caller gets no response. */
   async handle (request: EmulatedRequest): Promise<{ status: number, body: Buffer } | null> {
     const { address, path, headers, body } = request
@@ -182,36 +196,40 @@
     return this._encode({ status: 200, body: { good: advised.map(id => [id, `ticket-${id}`]), valid_ms: 3_000 } })
   }
 
-  private _startWorker (virtualMachine: string, pool: string, zone: string): EmulatedWorker {
+  private _startWorker (virtualMachine: string, pool: string, zone: string, address?: string): EmulatedWorker {
     this._workerCount += 1
-    const worker = new EmulatedWorker(
-      `i-${this._workerCount}`, pool, `${this._workerNetwork}.${this._workerCount >> 8}.${this._workerCount & 255}:8080`, zone, virtualMachine, this._clock, this._outcome, MAXIMUM_LEASE_MILLISECONDS)
+    const newAddress = `${this._workerNetwork}.${this._workerCount >> 8}.${this._workerCount & 255}:8080`
+    const worker = new EmulatedWorker(`i-${this._workerCount}`, pool, address ?? newAddress, zone, virtualMachine, this._clock, this._outcome, MAXIMUM_LEASE_MILLISECONDS)
     this._add(worker)
     return worker
   }
 
+  private _terminate (worker: EmulatedWorker): void {
+    worker.terminate()
+    this._workersByAddress.delete(worker.address)
+    this._formerAddresses.add(worker.address)
+  }
+
+  /** Crashes a worker and brings it back after the downtime. */
+  private async _crashAndRestart (worker: EmulatedWorker): Promise<void> {
+    this.crash(worker)
+    await this._clock.sleepUntil(this._clock.now() + this.faults.crashDowntimeMilliseconds)
+    const virtualMachine = this.virtualMachines.byId.get(worker.virtualMachine)
+    if (!virtualMachine || virtualMachine.worker !== worker.id) return
+    if (this.faults.keepsIdAfterCrash) this.restart(worker)
+    else virtualMachine.worker = this._startWorker(worker.virtualMachine, worker.pool, worker.zone, worker.address).id
+  }
+
   private _add (worker: EmulatedWorker): void {
     this.workerIncarnations.push(worker)
+    worker.onCrash = () => { this._crashAndRestart(worker).catch(() => {}) }
     this._onWorkerAdded(worker)
     this._workersByAddress.set(worker.address, worker)
     this._register(worker)
   }
 
   private _register (worker: EmulatedWorker): void {
-    this.store.put('keyed.servers', worker.id, {
-      service: worker.pool,
-      address: worker.address,
-      zone: worker.zone,
-      version: 'v1',
-      slots: 8,
-      state: worker.isDraining ? 'draining' : 'ready',
-      cold_remaining_ms: 0,
-      seq: 1,
-      born: worker.startedAt,
-      capacity: { cpu: 64_000, mem_mb: 131_072 },
-      labels: ['a', this.virtualMachines.byId.get(worker.virtualMachine)?.rack ?? ''],
-      clock_ms: worker.clockMilliseconds
-    })
+    this.store.put('keyed.servers', worker.id, workerRegistryEntry(worker, this.virtualMachines.byId.get(worker.virtualMachine)?.rack ?? ''))
   }
 
   private _encode ({ status, body }: { status: number, body: Buffer | object }): { status: number, body: Buffer } {
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -39,7 +39,7 @@
   readonly emulator: PlatformEmulator
   readonly nodes = new Map<string, EmulatedNode>()
   /** Duration (Infinity: doesn't complete by itself) and result of a task's runs, by task name; other runs are done after a second. */
-  readonly outcomesByTask = new Map<string, { milliseconds: number, result: 'done' | 'failed' }>()
+  readonly outcomesByTask = new Map<string, { milliseconds: number, result: 'done' | 'failed' | 'crash' }>()
   private _version = 0
 
   constructor (private readonly _seed: number) {
