--- a/src/jobs/task-progress.ts
+++ b/src/jobs/task-progress.ts
@@ -2,6 +2,7 @@
  * Progress of one task, as stored in the journal.
  */
 import * as z from 'zod'
+import { RunCrash } from './run-crash.js'
 
 /** One row of a step's progress record. */
 export const TaskProgress = z.object({
@@ -16,6 +17,8 @@
   /** Incarnation of that worker: epoch milliseconds of its start. */
   incarnation: z.number(),
   /** Newest checkpoint; empty for none. */
-  checkpoint: z.string()
+  checkpoint: z.string(),
+  /** Runs under which their worker crashed. */
+  crashes: z.array(RunCrash)
 })
 export type TaskProgress = z.infer<typeof TaskProgress>
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -46,6 +46,7 @@
 import { UrgencyPlacementPolicy } from '../scheduling/urgency-placement-policy.js'
 import { WorkerRegistryFollowerTask } from '../scheduling/worker-registry-follower-task.js'
 import { LeaseRenewalTask } from '../scheduling/lease-renewal-task.js'
+import { RecentStartAttributionPolicy } from '../scheduling/recent-start-attribution-policy.js'
 import { WorkerLossHandler } from '../scheduling/worker-loss-handler.js'
 import { WorkerTable } from '../scheduling/worker-table.js'
 import type { FleetTimings } from '../scheduling/fleet-timings.js'
@@ -108,10 +109,10 @@
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
     const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, this._fleetTime, clock, metrics, log)
-    const losses = new WorkerLossHandler(schedule, metrics, log)
+    const losses = new WorkerLossHandler(schedule, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, clock, metrics, log)
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock), record => WorkerCodec.decode(record))
-    const workerRegistry = new WorkerRegistryFollowerTask(
+    const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
       workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(this._dialer), term,
       worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseDurations, pace, onLost, clock, random, metrics, log),
       workerFeed, clock, random, metrics, log
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -13,8 +13,14 @@
 /** Task phases; the index of a phase is its number in a row. */
 const PHASES = ['waiting', 'placed', 'done', 'failed'] as const
 
-/** Phase, run, failed runs, worker, incarnation, checkpoint. A compact tuple, because every change rewrites all rows of a step. */
-const TaskRow = z.tuple([z.number().int().min(0).max(PHASES.length - 1), z.number(), z.array(z.number()), z.string(), z.number(), z.string()])
+/** Roles of a run in a crash; the index of a role is its number in a row. */
+const CRASH_ROLES = ['bystander', 'suspect', 'culprit', 'unconfirmed'] as const
+
+/** Phase, run, failed runs, worker, incarnation, checkpoint, and crashes if there are any. A compact tuple, because every change rewrites all rows of a step. */
+const TaskRow = z.tuple([
+  z.number().int().min(0).max(PHASES.length - 1), z.number(), z.array(z.number()), z.string(), z.number(), z.string(),
+  z.array(z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1)])).optional()
+])
 const TaskRows = z.array(TaskRow)
 const TermValue = z.object({ term: z.number(), holder: z.string(), isReleased: z.boolean(), at: z.number() })
 
@@ -73,12 +79,22 @@
     return [this._jsonRecord(`over/${job}`, { queue, state }), ...keys.map(key => ({ key, value: TOMBSTONE }))]
   }
 
-  private static _encodeTask ({ phase, run, failedRuns, worker, incarnation, checkpoint }: TaskProgress): z.infer<typeof TaskRow> {
-    return [PHASES.indexOf(phase), run, failedRuns, worker, incarnation, checkpoint]
+  private static _encodeTask ({ phase, run, failedRuns, worker, incarnation, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
+    const row: z.infer<typeof TaskRow> = [PHASES.indexOf(phase), run, failedRuns, worker, incarnation, checkpoint]
+    if (crashes.length > 0) row[6] = crashes.map(crash => [crash.run, CRASH_ROLES.indexOf(crash.role)])
+    return row
   }
 
-  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint]: z.infer<typeof TaskRow>): TaskProgress {
-    return { phase: PHASES[phase] ?? 'waiting', run, failedRuns, worker, incarnation, checkpoint }
+  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint, crashes = []]: z.infer<typeof TaskRow>): TaskProgress {
+    return {
+      phase: PHASES[phase] ?? 'waiting',
+      run,
+      failedRuns,
+      worker,
+      incarnation,
+      checkpoint,
+      crashes: crashes.map(([crashedRun, role]) => ({ run: crashedRun, role: CRASH_ROLES[role] ?? 'bystander' }))
+    }
   }
 
   private static _jsonRecord (key: string, document: object): KeyedRecord {
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -5,6 +5,7 @@
 import type { FleetTime } from '../jobs/fleet-time.js'
 import { JobObserver } from '../jobs/job-observer.js'
 import type { JobView } from '../jobs/job-view.js'
+import type { RunCrash } from '../jobs/run-crash.js'
 import type { DecisionLog } from '../observability/decision-log.js'
 import type { Metrics } from '../observability/metrics.js'
 import type { Clock } from '../supervision/clock.js'
@@ -26,6 +27,9 @@
 /** Time during which a worker that refused a start order gets no new tasks. */
 const REFUSAL_COOLDOWN_MILLISECONDS = { refused: 150, unhealthy: 1_000 } as const
 
+/** Time for which a task that is suspected after one crash waits for a worker without other runs on trial. */
+const ISOLATION_TIMEOUT_MILLISECONDS = 1_500
+
 /** Every change to a task's phase or worker assignment goes through this class, so that reservations on workers and in team usage always match the schedule. */
 export class FleetSchedule extends JobObserver {
   /** Wakes the placement task after a change that may make a task placeable. */
@@ -98,6 +102,23 @@
     this._requeue(task)
   }
 
+  /** Records a crash of the worker under a run of a task. */
+  recordCrash (task: ScheduledTask, crash: RunCrash): void {
+    if (task.phase === 'done' || !task.crashes.record(crash)) return
+    task.step.hasCrashes = true
+    task.isolationDeadline = this._clock.now() + ISOLATION_TIMEOUT_MILLISECONDS
+    this._metrics.count('runs.crashed', 1, crash.role)
+    this._log.emit('worker crashed under run', { task: task.name, run: crash.run, role: crash.role, crashes: task.crashes.crashes.length, isGivenUp: task.crashes.isExhausted })
+    this._writer.writeStep(task.step)
+    this._giveUpIfExhausted(task)
+  }
+
+  /** Forgets the crashes of a task that lasts. */
+  clearCrashes (task: ScheduledTask): void {
+    task.crashes.clear()
+    this._writer.writeStep(task.step)
+  }
+
   /** Places a task on a worker; the start order is sent once the decision is durable. Members of a gang share a run number. */
   place (task: ScheduledTask, worker: FleetWorker, run = task.run + 1): void {
     task.phase = 'placed'
@@ -173,6 +194,7 @@
     const worker = this._workers.findOrAddPlaceholder(task)
     if (worker.entry.incarnation !== task.incarnation) {
       this._requeue(task)
+      if (worker.entry.incarnation > task.incarnation) this.recordCrash(task, { run: task.run, role: 'unconfirmed' })
       return
     }
     task.runState = 'inherited'
@@ -235,7 +257,15 @@
     if (task.phase === 'placed') {
       task.phase = 'waiting'
       this._writer.writeStep(task.step)
+      this._giveUpIfExhausted(task)
     }
     this.markChanged()
   }
+
+  /** Fails a waiting task that has crashed too many workers. */
+  private _giveUpIfExhausted (task: ScheduledTask): void {
+    if (task.phase !== 'waiting' || !task.crashes.isExhausted) return
+    this._finishTask(task, 'failed')
+    this._updateJob(task.step)
+  }
 }
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -37,6 +37,8 @@
   appliedSequence = 0
   /** Tasks with a reservation on the worker. */
   readonly tasks = new Set<ScheduledTask>()
+  /** Those of them beside which nothing else may start while they are on trial. */
+  private readonly _isolatedTasks = new Set<ScheduledTask>()
   /** Epoch milliseconds of the last report; 0 before the first under this term. */
   lastReportAt = 0
   /** Epoch milliseconds by which the next report must have arrived; 0 after a failed call. Past it, the worker gets nothing new. */
@@ -88,16 +90,24 @@
     return fitsWithin(demand, this.available)
   }
 
+  /** Whether an isolated run is on trial on the worker, other than those that are isolated together with the given task. */
+  isOnTrialFor (task: ScheduledTask): boolean {
+    for (const isolated of this._isolatedTasks) if (isolated.isOnTrial && isolated.isolationGroup !== task.isolationGroup) return true
+    return false
+  }
+
   /** Reserves resources for a task; does nothing if the task already has a reservation. */
   reserve (task: ScheduledTask): void {
     if (this.tasks.has(task)) return
     this.tasks.add(task)
+    if (task.isIsolated) this._isolatedTasks.add(task)
     this._reserved = addResources(this._reserved, task.reservation)
   }
 
   /** Releases a task's reservation, if it has one. */
   release (task: ScheduledTask): void {
     if (!this.tasks.delete(task)) return
+    this._isolatedTasks.delete(task)
     this._reserved = addResources(this._reserved, task.reservation, -1)
   }
 
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -18,6 +18,7 @@
 import type { OwnerPace } from './owner-pace.js'
 import type { PlacementPolicy } from './placement-policy.js'
 import type { ResourceReservations } from './resource-reservations.js'
+import { RunIsolation } from './run-isolation.js'
 import type { WorkerLossHandler } from './worker-loss-handler.js'
 import type { WorkerTable } from './worker-table.js'
 
@@ -27,6 +28,15 @@
 /** Nothing new is placed on an older view of the journal and of the configuration: it may lack cancellations, withdrawn keys or zone outages. */
 const MAXIMUM_VIEW_AGE_MILLISECONDS = 2_000
 
+/** What the steps of one round share. */
+interface PlacementRound {
+  readonly now: number
+  readonly workersByPool: ReadonlyMap<string, FleetWorker[]>
+  /** Demands that fit on no worker, by pool: demands at least as large are skipped. */
+  readonly unplaceableByPool: Map<string, Resources[]>
+  readonly isolation: RunIsolation
+}
+
 /** Runs placement rounds, one at a time, whenever the schedule has changed. */
 export class PlacementTask extends Task {
   override readonly name = 'placement'
@@ -63,26 +73,33 @@
   private _runRound (now: number): void {
     const startableSteps = this._startableSteps(now)
     if (startableSteps.length === 0) return
-    const workersByPool = this._eligibleWorkersByPool(now)
-    // Demands that fit on no worker, by pool: demands at least as large are skipped.
-    const unplaceableByPool = new Map<string, Resources[]>()
+    const round = { now, workersByPool: this._eligibleWorkersByPool(now), unplaceableByPool: new Map<string, Resources[]>(), isolation: new RunIsolation(now) }
+    const prioritizedSteps = this._policy.prioritize(startableSteps, now)
     let placed = 0
-    for (const step of this._policy.prioritize(startableSteps, now)) {
-      const queue = this._configuration.queue(step.job.view.submission.queue)
-      const workers = workersByPool.get(queue?.pool ?? '')
-      if (!queue || !workers) continue
-      const unplaceable = unplaceableByPool.get(queue.pool) ?? []
-      unplaceableByPool.set(queue.pool, unplaceable)
-      const allowedWorkers = queue.advice ? workers.filter(worker => this._advice.ticket(step, worker) !== null) : workers
-      const tasks = step.definition.isGang ? this._placeGang(step, allowedWorkers) : this._placeTasks(step, allowedWorkers, queue.advice ? [] : unplaceable)
-      placed += tasks.length
-      if (tasks.length > 0) this._logPlacement(step, queue, tasks, now)
-      if (queue.advice && step.tasks.some(({ phase }) => phase === 'waiting')) this._requestAdvice(step, queue, workers)
-    }
+    // Suspected tasks choose first: a worker is free of other runs on trial only if it gets no others meanwhile.
+    for (const step of prioritizedSteps) if (step.hasCrashes) placed += this._placeStep(step, round, true)
+    for (const step of prioritizedSteps) placed += this._placeStep(step, round, false)
     if (placed > 0) this._metrics.count('placement.placed', placed)
     this._metrics.timing('placement.round.milliseconds', this._clock.now() - now)
   }
 
+  /** Places waiting tasks of a step, either those that are to be isolated or the others; returns their number. */
+  private _placeStep (step: ScheduledStep, { now, workersByPool, unplaceableByPool, isolation }: PlacementRound, isIsolated: boolean): number {
+    const queue = this._configuration.queue(step.job.view.submission.queue)
+    const workers = workersByPool.get(queue?.pool ?? '')
+    if (!queue || !workers) return 0
+    const unplaceable = unplaceableByPool.get(queue.pool) ?? []
+    unplaceableByPool.set(queue.pool, unplaceable)
+    const waiting = step.hasCrashes ? step.waitingTasks.filter(task => isolation.applies(task) === isIsolated) : step.waitingTasks
+    const allowedWorkers = queue.advice ? workers.filter(worker => this._advice.ticket(step, worker) !== null) : workers
+    const tasks = step.definition.isGang
+      ? this._placeGang(waiting, allowedWorkers, isolation, isIsolated)
+      : isIsolated ? this._placeIsolated(waiting, allowedWorkers, isolation) : this._placeTasks(waiting, allowedWorkers, queue.advice ? [] : unplaceable, isolation)
+    if (tasks.length > 0) this._logPlacement(step, queue, tasks, now)
+    if (queue.advice && step.tasks.some(({ phase }) => phase === 'waiting')) this._requestAdvice(step, queue, workers)
+    return tasks.length
+  }
+
   /** Logs the placements of a step: how long the job waited, its slack, and the worker of each run. */
   private _logPlacement (step: ScheduledStep, queue: JobQueue, tasks: readonly ScheduledTask[], now: number): void {
     const { job } = step
@@ -99,7 +116,7 @@
   /** Requests advice for the workers that have the resources for a task of the step. */
   private _requestAdvice (step: ScheduledStep, queue: JobQueue, workers: readonly FleetWorker[]): void {
     const [task] = step.waitingTasks
-    if (task) this._advice.requestAdvice(step, queue, this._candidateWorkers(task, workers))
+    if (task) this._advice.requestAdvice(step, queue, this._workersWithCapacity(task, workers))
   }
 
   private _startableSteps (now: number): ScheduledStep[] {
@@ -123,16 +140,36 @@
     return workersByPool
   }
 
-  private _placeTasks (step: ScheduledStep, workers: readonly FleetWorker[], unplaceable: Resources[]): ScheduledTask[] {
+  private _placeTasks (tasks: readonly ScheduledTask[], workers: readonly FleetWorker[], unplaceable: Resources[], isolation: RunIsolation): ScheduledTask[] {
     const placed: ScheduledTask[] = []
-    for (const task of step.waitingTasks) {
+    for (const task of tasks) {
+      const { requiredLabel, maximumPerWorker } = task.step.definition
       if (unplaceable.some(demand => fitsWithin(demand, task.reservation))) break
-      if (!this._reservations.teamUsage.isWithinUpperLimit(step.job.view.submission.team, step.definition.demand)) break
-      const worker = this._policy.chooseWorker(task, this._candidateWorkers(task, workers))
+      if (!this._isWithinUpperLimit(task)) break
+      const candidates = this._candidateWorkers(task, workers, isolation)
+      const worker = task.crashes.isEmpty ? this._policy.chooseWorker(task, candidates) : isolation.choose(candidates)
       if (!worker) {
-        if (step.definition.requiredLabel === '' && step.definition.maximumPerWorker === 0) unplaceable.push(task.reservation)
+        if (requiredLabel === '' && maximumPerWorker === 0) unplaceable.push(task.reservation)
         break
       }
+      task.isIsolated = false
+      this._schedule.place(task, worker)
+      placed.push(task)
+    }
+    return placed
+  }
+
+  /** Places suspected tasks on workers without other runs on trial; withholds a worker for each task that finds none. */
+  private _placeIsolated (tasks: readonly ScheduledTask[], workers: readonly FleetWorker[], isolation: RunIsolation): ScheduledTask[] {
+    const placed: ScheduledTask[] = []
+    for (const task of tasks) {
+      if (!this._isWithinUpperLimit(task) || !isolation.hasRoom(workers, task)) break
+      const worker = isolation.choose(this._candidateWorkers(task, workers, isolation))
+      if (!worker) {
+        isolation.withholdOne(this._workersWithCapacity(task, workers), task)
+        continue
+      }
+      task.isIsolated = true
       this._schedule.place(task, worker)
       placed.push(task)
     }
@@ -140,28 +177,42 @@
   }
 
   /** Places all members of a gang or none, because each member waits for the others once it has started. */
-  private _placeGang (step: ScheduledStep, workers: readonly FleetWorker[]): ScheduledTask[] {
-    if (step.tasks.some(({ phase }) => phase !== 'waiting')) return []
-    const run = Math.max(...step.tasks.map(task => task.run)) + 1
+  private _placeGang (members: readonly ScheduledTask[], workers: readonly FleetWorker[], isolation: RunIsolation, isIsolated: boolean): ScheduledTask[] {
+    const [first] = members
+    if (!first || members.length < first.step.tasks.length) return []
+    const run = Math.max(...members.map(task => task.run)) + 1
     const placed: ScheduledTask[] = []
-    for (const task of step.tasks) {
-      const isWithinLimit = this._reservations.teamUsage.isWithinUpperLimit(step.job.view.submission.team, step.definition.demand)
-      const worker = isWithinLimit ? this._policy.chooseWorker(task, this._candidateWorkers(task, workers)) : null
+    for (const task of members) {
+      task.isIsolated = isIsolated
+      const isWithinLimit = this._isWithinUpperLimit(task)
+      const worker = isWithinLimit ? this._policy.chooseWorker(task, this._candidateWorkers(task, workers, isolation)) : null
+      if (!worker && isWithinLimit && isIsolated) isolation.withholdOne(this._workersWithCapacity(task, workers), task)
       if (!worker) break
       this._reservations.reserve(task, worker)
       placed.push(task)
     }
-    const isComplete = placed.length === step.tasks.length
+    const isComplete = placed.length === members.length
     const chosenWorkers = placed.map(task => this._reservations.release(task))
-    if (!isComplete) return []
-    step.tasks.forEach((task, index) => {
+    if (!isComplete) {
+      if (isIsolated) for (const worker of chosenWorkers) if (worker) isolation.withhold(worker)
+      return []
+    }
+    members.forEach((task, index) => {
       const worker = chosenWorkers[index]
       if (worker) this._schedule.place(task, worker, run)
     })
     return placed
   }
 
-  private _candidateWorkers (task: ScheduledTask, workers: readonly FleetWorker[]): FleetWorker[] {
+  private _isWithinUpperLimit ({ step }: ScheduledTask): boolean {
+    return this._reservations.teamUsage.isWithinUpperLimit(step.job.view.submission.team, step.definition.demand)
+  }
+
+  private _candidateWorkers (task: ScheduledTask, workers: readonly FleetWorker[], isolation: RunIsolation): FleetWorker[] {
+    return this._workersWithCapacity(task, workers).filter(worker => isolation.permits(task, worker))
+  }
+
+  private _workersWithCapacity (task: ScheduledTask, workers: readonly FleetWorker[]): FleetWorker[] {
     const { requiredLabel, maximumPerWorker } = task.step.definition
     return workers.filter(worker =>
       worker.hasCapacityFor(task.reservation) &&
--- /dev/null
+++ b/src/scheduling/run-isolation.ts
@@ -0,0 +1,75 @@
+/**
+ * Isolation of runs that may crash their worker.
+ */
+import type { FleetWorker } from './fleet-worker.js'
+import type { ScheduledTask } from './scheduled-task.js'
+
+/** Largest fraction of a pool's workers that take part in trials at once; one worker always may. */
+const MAXIMUM_TRIAL_FRACTION = 0.5
+
+/** Exceeds the number of runs on any worker. */
+const MAXIMUM_RUNS_PER_WORKER = 10_000
+
+/**
+ * Keeps other starts away from a worker while a suspected run is on trial there, in one placement round. A suspected task for which no worker is free
+ * of other runs on trial has one withheld, which gets nothing else until it is.
+ */
+export class RunIsolation {
+  private readonly _withheld = new Set<FleetWorker>()
+
+  constructor (private readonly _now: number) {}
+
+  /** Whether a task has to be isolated at present, or the gang to which it belongs. */
+  applies (task: ScheduledTask): boolean {
+    const group = task.step.definition.isGang ? task.step.tasks : [task]
+    return group.some(({ crashes, isolationDeadline }) => crashes.requiresIsolation || (crashes.needsIsolation && isolationDeadline > this._now))
+  }
+
+  /** Whether the task may start on a worker beside the runs that are there. */
+  permits (task: ScheduledTask, worker: FleetWorker): boolean {
+    if (this._withheld.has(worker) || worker.isOnTrialFor(task)) return false
+    return !this.applies(task) || [...worker.tasks].every(other => !other.isOnTrial || other.isolationGroup === task.isolationGroup)
+  }
+
+  /** Whether another worker of a pool may take part in a trial. */
+  hasRoom (workers: readonly FleetWorker[], task: ScheduledTask): boolean {
+    const busy = workers.filter(worker => this._withheld.has(worker) || worker.isOnTrialFor(task)).length
+    return busy < Math.max(1, Math.floor(workers.length * MAXIMUM_TRIAL_FRACTION))
+  }
+
+  /**
+   * Chooses a worker for a task under which a worker has crashed: the one with the fewest other tasks of this kind, so that those that were lost
+   * together aren't lost together again, and then the one with the fewest runs, which are lost if it crashes.
+   */
+  choose (workers: readonly FleetWorker[]): FleetWorker | null {
+    let best: FleetWorker | null = null
+    let bestRisk = Infinity
+    for (const worker of workers) {
+      const crashedTasks = [...worker.tasks].filter(({ crashes }) => !crashes.isEmpty).length
+      const risk = crashedTasks * MAXIMUM_RUNS_PER_WORKER + worker.tasks.size
+      if (risk >= bestRisk) continue
+      best = worker
+      bestRisk = risk
+    }
+    return best
+  }
+
+  /** Withholds a worker for the rest of the round. */
+  withhold (worker: FleetWorker): void {
+    this._withheld.add(worker)
+  }
+
+  /** Withholds the worker whose runs will be the first to have passed their trial. */
+  withholdOne (candidates: readonly FleetWorker[], task: ScheduledTask): void {
+    let best: FleetWorker | null = null
+    let bestStart = Infinity
+    for (const worker of candidates) {
+      if (this._withheld.has(worker) || worker.isOnTrialFor(task)) continue
+      const newestStart = Math.max(0, ...[...worker.tasks].filter(({ isOnTrial }) => isOnTrial).map(({ startOrderedAt }) => startOrderedAt === 0 ? this._now : startOrderedAt))
+      if (newestStart >= bestStart) continue
+      best = worker
+      bestStart = newestStart
+    }
+    if (best) this.withhold(best)
+  }
+}
--- a/src/scheduling/scheduled-step.ts
+++ b/src/scheduling/scheduled-step.ts
@@ -8,10 +8,13 @@
 /** A step that the owner schedules, with its tasks. */
 export class ScheduledStep {
   readonly tasks: readonly ScheduledTask[]
+  /** Whether a worker has crashed under any of the tasks. */
+  hasCrashes: boolean
 
   constructor (readonly job: ScheduledJob, readonly occurrence: number, readonly index: number, readonly definition: StepDefinition) {
     const progress = job.view.taskProgress(occurrence, index)
     this.tasks = Array.from({ length: definition.count }, (_, task) => new ScheduledTask(this, task, progress?.[task] ?? null))
+    this.hasCrashes = this.tasks.some(({ crashes }) => !crashes.isEmpty)
   }
 
   /** Name of the step at the advice service. */
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -3,6 +3,7 @@
  */
 import type { Resources } from '../jobs/resources.js'
 import type { TaskProgress } from '../jobs/task-progress.js'
+import { CrashHistory } from './crash-history.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { ScheduledStep } from './scheduled-step.js'
 
@@ -14,12 +15,20 @@
  */
 type RunState = 'inherited' | 'intended' | 'starting' | 'running' | 'settling' | 'stopping'
 
+/** Time after which the crashes of a task that lasts are forgotten, in milliseconds. */
+const STABLE_MILLISECONDS = 10_000
+
 /** A task that the owner schedules. Its progress is written to the journal along with that of the other tasks of its step. */
 export class ScheduledTask {
   phase: TaskProgress['phase']
   run: number
   failedRuns: readonly number[]
   checkpoint: string
+  readonly crashes: CrashHistory
+  /** Epoch milliseconds until which the task, suspected after a crash, waits for a worker without other runs on trial. */
+  isolationDeadline = 0
+  /** Whether nothing else may start on the worker while the current run is on trial. */
+  isIsolated = false
   /** Worker on which the task has a reservation, or null; an unlisted worker keeps its tasks until its lease has expired. */
   worker: FleetWorker | null = null
   /** ID and incarnation of the worker, as written to the journal. */
@@ -28,7 +37,7 @@
   runState: RunState = 'inherited'
   /** Epoch milliseconds after which a report without the run proves that the run does not exist; Infinity while unknown. */
   confirmedAt = Infinity
-  /** Epoch milliseconds at which the start order of the current run was sent; 0 if another owner sent it, or nobody yet. */
+  /** Epoch milliseconds at which the start order of the current run was sent, or of the first report if another owner sent it; 0 before. */
   startOrderedAt = 0
   /** Progress or readiness that the worker last reported. */
   progressPercent = 0
@@ -46,6 +55,7 @@
     this.checkpoint = progress?.checkpoint ?? ''
     this.workerId = progress?.worker ?? ''
     this.incarnation = progress?.incarnation ?? 0
+    this.crashes = new CrashHistory(progress?.crashes)
   }
 
   /** Name of the task at the workers. */
@@ -64,6 +74,27 @@
     return this.phase === 'placed' && this.runState === 'running' && this.progressPercent >= 100
   }
 
+  /** What is isolated together: the members of a gang can't run without each other. */
+  get isolationGroup (): ScheduledStep | ScheduledTask {
+    return this.step.definition.isGang ? this.step : this
+  }
+
+  /** Whether the current run has certainly begun: its worker accepted its start or has reported it. */
+  get isConfirmed (): boolean {
+    return this.runState === 'running' || this.runState === 'stopping'
+  }
+
+  /** Whether the current run may still crash its worker by its start: no report has shown yet that it has been running for a while. */
+  get isOnTrial (): boolean {
+    if (!this.worker) return false
+    return this.startOrderedAt === 0 || this.startOrderedAt + this.crashes.trialMilliseconds > this.worker.lastReportAt
+  }
+
+  /** Whether the current run of a task that lasts has been running for so long that earlier crashes don't matter. */
+  get isStable (): boolean {
+    return this.step.definition.isLasting && this.worker !== null && this.startOrderedAt !== 0 && this.startOrderedAt + STABLE_MILLISECONDS <= this.worker.lastReportAt
+  }
+
   /** Records a failed run; a run is counted once. */
   recordFailure (run: number): void {
     if (!this.failedRuns.includes(run)) this.failedRuns = [...this.failedRuns, run]
@@ -78,7 +109,8 @@
       failedRuns: [...this.failedRuns],
       worker: isPlaced ? this.workerId : '',
       incarnation: isPlaced ? this.incarnation : 0,
-      checkpoint: this.phase === 'done' ? '' : this.checkpoint
+      checkpoint: this.phase === 'done' ? '' : this.checkpoint,
+      crashes: this.phase === 'done' ? [] : [...this.crashes.crashes]
     }
   }
 }
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -35,7 +35,9 @@
     // A report may have shown a newer incarnation before the registry does.
     if (known && known.entry.incarnation > entry.incarnation) return known
     if (known && known.entry.incarnation < entry.incarnation) this._startIncarnation(known, entry.incarnation, [])
+    if (!known) for (const predecessor of this._workers.predecessorsAtAddress(entry)) this._losses.incarnationEnded(predecessor, 'replaced', [...predecessor.tasks])
     const worker = this._workers.applyEntry(entry)
+    this._losses.workerListed(entry)
     this._schedule.markChanged()
     return worker
   }
@@ -86,6 +88,8 @@
   private _confirmRun (task: ScheduledTask, activeRun: ActiveRun): void {
     if (task.runState === 'inherited' || task.runState === 'starting') task.runState = 'running'
     task.confirmedAt = Math.min(task.confirmedAt, this._clock.now())
+    if (task.startOrderedAt === 0) task.startOrderedAt = this._clock.now()
+    if (task.isStable && !task.crashes.isEmpty) this._schedule.clearCrashes(task)
     if (activeRun.checkpoint !== '') task.checkpoint = activeRun.checkpoint
     task.progressPercent = activeRun.percent
     task.load = activeRun.load
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -49,6 +49,11 @@
     return this._workers.get(id) ?? null
   }
 
+  /** Returns the workers with tasks whose address belongs to a later worker now: an address is reused only after its worker has ended. */
+  predecessorsAtAddress ({ id, address, incarnation }: WorkerEntry): FleetWorker[] {
+    return [...this.all].filter(({ entry, tasks }) => tasks.size > 0 && entry.address === address && entry.id !== id && entry.incarnation < incarnation)
+  }
+
   /** Returns whether nothing planned keeps a worker from new tasks: no shutdown, cordon or zone outage. */
   isSchedulable ({ entry, isListed, isCordoned }: FleetWorker): boolean {
     return isListed && !entry.isDraining && !isCordoned && !this._configuration.isZoneOut(entry.availabilityZone)
--- a/tests/crashing-tasks.test.ts
+++ b/tests/crashing-tasks.test.ts
@@ -33,6 +33,7 @@
 test.each(kinds)('a %s task that crashes its workers is given up before it has been started three times more after three crashes', async (_, step, options) => {
   const fleet = await EmulatedFleet.create(4, ['one', 'two'])
   for (let occurrence = 0; occurrence < 3; occurrence++) fleet.outcomesByTask.set(`dead.${occurrence}.0.0`, CRASH)
+  if (step.isLasting) fleet.outcomesByTask.set('dead.0.0.1', { milliseconds: Infinity, result: 'done' })
   await fleet.submit('one', 'dead', [step], options)
   await fleet.clock.advance(60_000)
   expect(mostStarts(fleet, 'dead', step.count ?? 1)).toBeGreaterThan(1)
@@ -56,6 +57,25 @@
   expect(await fleet.state('one', 'dead')).toEqual({ kind: 'state', state: 'failed' })
 })
 
+test('crashes count although the next worker at the address has left before it was called', async () => {
+  const fleet = await EmulatedFleet.create(4, ['one'])
+  fleet.outcomesByTask.set('dead.0.0.0', CRASH)
+  await fleet.submit('one', 'dead', [{}])
+  const known = new Set(fleet.emulator.workerIncarnations)
+  for (let elapsed = 0; elapsed < 60_000; elapsed += 10) {
+    await fleet.clock.advance(10)
+    for (const worker of fleet.emulator.workerIncarnations) {
+      if (known.has(worker)) continue
+      known.add(worker)
+      fleet.emulator.shutDown(worker)
+      fleet.emulator.addVirtualMachine('work', 'a')
+      known.add(fleet.emulator.workerIncarnations[fleet.emulator.workerIncarnations.length - 1] ?? worker)
+    }
+  }
+  expect(mostStarts(fleet, 'dead', 1)).toBeLessThanOrEqual(MAXIMUM_STARTS)
+  expect(await fleet.state('one', 'dead')).toEqual({ kind: 'state', state: 'failed' })
+})
+
 test('tasks beside one that crashes its workers complete, and are not lost again and again', async () => {
   const fleet = await EmulatedFleet.create(4, ['one', 'two'])
   for (let round = 0; round < 6; round++) {
--- a/tests/job-table.test.ts
+++ b/tests/job-table.test.ts
@@ -7,7 +7,7 @@
 import { PLAIN_STEP } from './support/plain-step.js'
 
 const submission: JournalRecord = { kind: 'submission', submission: { id: 'aaaa', queue: 'queue', team: 'team', specification: '', steps: [PLAIN_STEP], occurrences: 1, startAt: 0, intervalMilliseconds: 0, submittedAt: 0 } }
-const done: JournalRecord = { kind: 'progress', job: 'aaaa', occurrence: 0, step: 0, tasks: [{ phase: 'done', run: 1, failedRuns: [], worker: '', incarnation: 0, checkpoint: '' }] }
+const done: JournalRecord = { kind: 'progress', job: 'aaaa', occurrence: 0, step: 0, tasks: [{ phase: 'done', run: 1, failedRuns: [], worker: '', incarnation: 0, checkpoint: '', crashes: [] }] }
 const cancellationDecision: JournalRecord = { kind: 'verdict', job: 'aaaa' }
 const outcome: JournalRecord = { kind: 'outcome', job: 'aaaa', queue: 'queue', state: 'completed', occurrences: 1, steps: 1 }
 
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -22,7 +22,8 @@
   failedRuns: fc.array(fc.nat()),
   worker: fc.string(),
   incarnation: fc.nat(),
-  checkpoint: fc.string()
+  checkpoint: fc.string(),
+  crashes: fc.array(fc.record({ run: fc.nat(), role: fc.constantFrom('bystander' as const, 'suspect' as const, 'culprit' as const, 'unconfirmed' as const) }))
 })
 
 test('keyed records decode to what was encoded, and a truncated one is left for the next read', () => {
