--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -39,6 +39,7 @@
 import { PlacementTask } from '../scheduling/placement-task.js'
 import { WorkerReconciler } from '../scheduling/worker-reconciler.js'
 import { ResourceReservations } from '../scheduling/resource-reservations.js'
+import { StartOutcomeHandler } from '../scheduling/start-outcome-handler.js'
 import { StartRunTask } from '../scheduling/start-run-task.js'
 import { StopRunTask } from '../scheduling/stop-run-task.js'
 import { SupervisedRunOrderDispatcher } from '../scheduling/supervised-run-order-dispatcher.js'
@@ -101,14 +102,15 @@
     const writer = new DecisionWriterTask(this._decisionJournal, this._decisions, term, claim.sentAt, this._holder, this._fleetTime, onLost, clock, random, metrics)
     const dispatcher: SupervisedRunOrderDispatcher = new SupervisedRunOrderDispatcher(
       orders,
-      (task, worker) => new StartRunTask(task, worker, advice, schedule, dispatcher, pace, onLost, clock, metrics),
-      (worker, task, run) => new StopRunTask(worker, task, run, schedule, onLost, clock, random, log)
+      (task, worker) => new StartRunTask(task, worker, advice, outcomes, dispatcher, pace, onLost, clock, metrics),
+      (worker, task, run) => new StopRunTask(worker, task, run, outcomes, onLost, clock, random, log)
     )
     const advice: AdviceTask = new AdviceTask(this._advisor, () => schedule.markChanged(), clock, metrics, log)
     const workerTable = new WorkerTable(configuration, leaseDurations, claim.isHandover ? clock.now() : claim.predecessorLastContactAt + RENEWAL_GRACE_PERIOD_MILLISECONDS, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
     const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, this._fleetTime, clock, metrics, log)
+    const outcomes = new StartOutcomeHandler(schedule, scheduledJobs, workerTable, clock, metrics, log)
     const losses = new WorkerLossHandler(schedule, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, clock, metrics, log)
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock), record => WorkerCodec.decode(record))
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -18,15 +18,11 @@
 import type { ScheduledTask } from './scheduled-task.js'
 import type { RunOrderDispatcher } from './run-order-dispatcher.js'
 import type { ResourceReservations } from './resource-reservations.js'
-import type { WorkerError } from './worker-error.js'
 import type { WorkerReport } from './worker-report.js'
 import type { WorkerTable } from './worker-table.js'
 
 type RunCompletion = WorkerReport['ended'][number]
 
-/** Time during which a worker that refused a start order gets no new tasks. */
-const REFUSAL_COOLDOWN_MILLISECONDS = { refused: 150, unhealthy: 1_000 } as const
-
 /** Time for which a task that is suspected after one crash waits for a worker without other runs on trial. */
 const ISOLATION_TIMEOUT_MILLISECONDS = 1_500
 
@@ -77,7 +73,7 @@
       const members = isGang ? task.step.tasks.filter(({ run }) => run === task.run) : [task]
       for (const member of members) this._finishTask(member, 'done')
     } else if (result === 'failed' && this._recordFailedRun(task)) this._finishTask(task, 'failed')
-    else this._requeue(task)
+    else this.requeue(task)
     this._updateJob(task.step)
   }
 
@@ -99,12 +95,12 @@
   runLost (task: ScheduledTask, cause: string): void {
     this._metrics.count('runs.lost')
     this._log.emit('run lost', { task: task.name, run: task.run, worker: task.workerId, cause })
-    this._requeue(task)
+    this.requeue(task)
   }
 
   /** Records a crash of the worker under a run of a task. */
   recordCrash (task: ScheduledTask, crash: RunCrash): void {
-    if (task.phase === 'done' || !task.crashes.record(crash)) return
+    if (task.phase === 'done' || task.step.job.isFinished || !task.crashes.record(crash)) return
     task.step.hasCrashes = true
     task.isolationDeadline = this._clock.now() + ISOLATION_TIMEOUT_MILLISECONDS
     this._metrics.count('runs.crashed', 1, crash.role)
@@ -135,45 +131,6 @@
     this._writer.writeStep(task.step, () => this._startRun(task, worker, run))
   }
 
-  /** Records that the worker accepted the start order. */
-  startAccepted (task: ScheduledTask, run: number): void {
-    if (task.run !== run || task.phase !== 'placed') return
-    if (task.runState === 'starting') task.runState = 'running'
-    task.confirmedAt = this._clock.now()
-  }
-
-  /** Requeues a task whose start order was refused or never sent: the run does not exist. */
-  startRefused (task: ScheduledTask, worker: FleetWorker, run: number, error: WorkerError): void {
-    if (task.run !== run || task.worker !== worker) return
-    this._metrics.count('runs.refused', 1, error.kind)
-    this._log.emit('start refused', { task: task.name, run, worker: worker.entry.id, cause: error.kind, detail: error.message })
-    const cooldown = error.kind === 'unhealthy' ? REFUSAL_COOLDOWN_MILLISECONDS.unhealthy : REFUSAL_COOLDOWN_MILLISECONDS.refused
-    worker.cooldownUntil = Math.max(worker.cooldownUntil, this._clock.now() + cooldown)
-    if (task.step.definition.isGang) this._stopOtherGangMembers(task)
-    this._requeue(task)
-  }
-
-  /**
-   * Records that a start order got no response: the run may exist or may still start. The caller stops it.
-   *
-   * @param sentAt epoch milliseconds at which the order was sent.
-   */
-  startUnconfirmed (task: ScheduledTask, worker: FleetWorker, run: number, sentAt: number): void {
-    this._workers.suspect(worker, sentAt)
-    if (task.run !== run || task.phase !== 'placed') return
-    this._metrics.count('runs.unsettled')
-    this._log.emit('start unsettled', { task: task.name, run, worker: task.workerId })
-    task.runState = 'settling'
-    if (task.step.definition.isGang) this._stopOtherGangMembers(task)
-  }
-
-  /** Records that the worker confirmed the stop of a run: a report requested from now on shows whether the run exists. */
-  stopConfirmed (taskName: string, run: number): void {
-    const task = this._jobs.findTask(taskName)
-    if (!task || task.run !== run || task.phase !== 'placed') return
-    task.confirmedAt = Math.min(task.confirmedAt, this._clock.now())
-  }
-
   /** Sends a stop order for the run of a placed task. The task is requeued once the run has ended. */
   stop (task: ScheduledTask): void {
     const { worker } = task
@@ -183,6 +140,22 @@
     this._dispatcher.stop(worker, task.name, task.run)
   }
 
+  /** Stops the other members of a gang, which cannot make progress without this one. */
+  stopOtherGangMembers (task: ScheduledTask): void {
+    for (const member of task.step.tasks) if (member !== task && member.run === task.run && member.phase === 'placed') this.stop(member)
+  }
+
+  /** Puts a task whose current run doesn't exist back into the queue, unless it is given up. */
+  requeue (task: ScheduledTask): void {
+    this._reservations.release(task)
+    if (task.phase === 'placed') {
+      task.phase = 'waiting'
+      this._writer.writeStep(task.step)
+      this._giveUpIfExhausted(task)
+    }
+    this.markChanged()
+  }
+
   /** Wakes the placement task after a change, including one outside the schedule. */
   markChanged (): void {
     this._changeCount += 1
@@ -193,7 +166,7 @@
   private _restorePlacement (task: ScheduledTask): void {
     const worker = this._workers.findOrAddPlaceholder(task)
     if (worker.entry.incarnation !== task.incarnation) {
-      this._requeue(task)
+      this.requeue(task)
       if (worker.entry.incarnation > task.incarnation) this.recordCrash(task, { run: task.run, role: 'unconfirmed' })
       return
     }
@@ -204,8 +177,8 @@
   private _startRun (task: ScheduledTask, worker: FleetWorker, run: number): void {
     if (task.run !== run || task.worker !== worker || task.runState !== 'intended') return
     if (task.step.job.isFinished || !this._workers.isSchedulable(worker)) {
-      if (task.step.definition.isGang) this._stopOtherGangMembers(task)
-      this._requeue(task)
+      if (task.step.definition.isGang) this.stopOtherGangMembers(task)
+      this.requeue(task)
       return
     }
     task.runState = 'starting'
@@ -247,21 +220,6 @@
     this.markChanged()
   }
 
-  /** Stops the other members of a gang, which cannot make progress without this one. */
-  private _stopOtherGangMembers (task: ScheduledTask): void {
-    for (const member of task.step.tasks) if (member !== task && member.run === task.run && member.phase === 'placed') this.stop(member)
-  }
-
-  private _requeue (task: ScheduledTask): void {
-    this._reservations.release(task)
-    if (task.phase === 'placed') {
-      task.phase = 'waiting'
-      this._writer.writeStep(task.step)
-      this._giveUpIfExhausted(task)
-    }
-    this.markChanged()
-  }
-
   /** Fails a waiting task that has crashed too many workers. */
   private _giveUpIfExhausted (task: ScheduledTask): void {
     if (task.phase !== 'waiting' || !task.crashes.isExhausted) return
--- /dev/null
+++ b/src/scheduling/start-outcome-handler.ts
@@ -0,0 +1,62 @@
+/**
+ * The outcomes of start and stop orders.
+ */
+import type { DecisionLog } from '../observability/decision-log.js'
+import type { Metrics } from '../observability/metrics.js'
+import type { Clock } from '../supervision/clock.js'
+import type { FleetSchedule } from './fleet-schedule.js'
+import type { FleetWorker } from './fleet-worker.js'
+import type { ScheduledJobTable } from './scheduled-job-table.js'
+import type { ScheduledTask } from './scheduled-task.js'
+import type { WorkerError } from './worker-error.js'
+import type { WorkerTable } from './worker-table.js'
+
+/** Time during which a worker that refused a start order gets no new tasks, in milliseconds. */
+const REFUSAL_COOLDOWN_MILLISECONDS = { refused: 150, unhealthy: 1_000 } as const
+
+/** Applies to the schedule what became of the orders for runs. */
+export class StartOutcomeHandler {
+  constructor (
+    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable,
+    private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
+  ) {}
+
+  /** Records that the worker accepted the start order. */
+  startAccepted (task: ScheduledTask, run: number): void {
+    if (task.run !== run || task.phase !== 'placed') return
+    if (task.runState === 'starting') task.runState = 'running'
+    task.confirmedAt = this._clock.now()
+  }
+
+  /** Requeues a task whose start order was refused or never sent: the run does not exist. */
+  startRefused (task: ScheduledTask, worker: FleetWorker, run: number, error: WorkerError): void {
+    if (task.run !== run || task.worker !== worker) return
+    this._metrics.count('runs.refused', 1, error.kind)
+    this._log.emit('start refused', { task: task.name, run, worker: worker.entry.id, cause: error.kind, detail: error.message })
+    const cooldown = error.kind === 'unhealthy' ? REFUSAL_COOLDOWN_MILLISECONDS.unhealthy : REFUSAL_COOLDOWN_MILLISECONDS.refused
+    worker.cooldownUntil = Math.max(worker.cooldownUntil, this._clock.now() + cooldown)
+    if (task.step.definition.isGang) this._schedule.stopOtherGangMembers(task)
+    this._schedule.requeue(task)
+  }
+
+  /**
+   * Records that a start order got no response: the run may exist or may still start. The caller stops it.
+   *
+   * @param sentAt epoch milliseconds at which the order was sent.
+   */
+  startUnconfirmed (task: ScheduledTask, worker: FleetWorker, run: number, sentAt: number): void {
+    this._workers.suspect(worker, sentAt)
+    if (task.run !== run || task.phase !== 'placed') return
+    this._metrics.count('runs.unsettled')
+    this._log.emit('start unsettled', { task: task.name, run, worker: task.workerId })
+    task.runState = 'settling'
+    if (task.step.definition.isGang) this._schedule.stopOtherGangMembers(task)
+  }
+
+  /** Records that the worker confirmed the stop of a run: a report requested from now on shows whether the run exists. */
+  stopConfirmed (taskName: string, run: number): void {
+    const task = this._jobs.findTask(taskName)
+    if (!task || task.run !== run || task.phase !== 'placed') return
+    task.confirmedAt = Math.min(task.confirmedAt, this._clock.now())
+  }
+}
--- a/src/scheduling/start-run-task.ts
+++ b/src/scheduling/start-run-task.ts
@@ -7,11 +7,11 @@
 import { NEVER_ABORTED } from '../supervision/never-aborted.js'
 import { Task } from '../supervision/task.js'
 import type { AdviceTask } from './advice-task.js'
-import type { FleetSchedule } from './fleet-schedule.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { ScheduledTask } from './scheduled-task.js'
 import type { OwnerPace } from './owner-pace.js'
 import type { RunOrderDispatcher } from './run-order-dispatcher.js'
+import type { StartOutcomeHandler } from './start-outcome-handler.js'
 import type { WorkerError } from './worker-error.js'
 
 /**
@@ -24,7 +24,7 @@
   /** @param _onFenced called when the worker has seen a higher fencing token. */
   constructor (
     private readonly _task: ScheduledTask, private readonly _worker: FleetWorker, private readonly _advice: AdviceTask,
-    private readonly _schedule: FleetSchedule, private readonly _dispatcher: RunOrderDispatcher, private readonly _pace: OwnerPace, private readonly _onFenced: (cause: string) => void,
+    private readonly _outcomes: StartOutcomeHandler, private readonly _dispatcher: RunOrderDispatcher, private readonly _pace: OwnerPace, private readonly _onFenced: (cause: string) => void,
     private readonly _clock: Clock, private readonly _metrics: Metrics
   ) {
     super()
@@ -42,7 +42,7 @@
     if (response?.isLeft()) span.setStatus({ code: SpanStatusCode.ERROR })
     span.end()
     if (response?.isRight()) {
-      this._schedule.startAccepted(task, run)
+      this._outcomes.startAccepted(task, run)
       return
     }
     const error = response ? response.extract() as WorkerError : null
@@ -50,9 +50,9 @@
       this._onFenced(`worker ${worker.entry.id}: ${error.message}`)
     } else if (error && error.kind !== 'unknown') {
       if (error.kind === 'ticket') this._advice.discardTicket(task.step, worker)
-      this._schedule.startRefused(task, worker, run, error)
+      this._outcomes.startRefused(task, worker, run, error)
     } else {
-      this._schedule.startUnconfirmed(task, worker, run, sentAt)
+      this._outcomes.startUnconfirmed(task, worker, run, sentAt)
       this._dispatcher.stop(worker, name, run)
     }
   }
--- a/src/scheduling/stop-run-task.ts
+++ b/src/scheduling/stop-run-task.ts
@@ -6,8 +6,8 @@
 import type { Clock } from '../supervision/clock.js'
 import type { RandomSource } from '../supervision/random-source.js'
 import { Task } from '../supervision/task.js'
-import type { FleetSchedule } from './fleet-schedule.js'
 import type { FleetWorker } from './fleet-worker.js'
+import type { StartOutcomeHandler } from './start-outcome-handler.js'
 import type { WorkerError } from './worker-error.js'
 
 const STOP_TIMEOUT_MILLISECONDS = 600
@@ -22,7 +22,7 @@
 
   /** @param _onFenced called when the worker has seen a higher fencing token. */
   constructor (
-    private readonly _worker: FleetWorker, private readonly _taskName: string, private readonly _run: number, private readonly _schedule: FleetSchedule,
+    private readonly _worker: FleetWorker, private readonly _taskName: string, private readonly _run: number, private readonly _outcomes: StartOutcomeHandler,
     private readonly _onFenced: (cause: string) => void, private readonly _clock: Clock, random: RandomSource, private readonly _log: DecisionLog
   ) {
     super()
@@ -36,7 +36,7 @@
       const response = await worker.client.stop(this._taskName, this._run, this._clock.now() + STOP_TIMEOUT_MILLISECONDS, signal)
       if (response.isRight()) {
         this._log.emit('run stopped', { task: this._taskName, run: this._run, worker: worker.entry.id })
-        this._schedule.stopConfirmed(this._taskName, this._run)
+        this._outcomes.stopConfirmed(this._taskName, this._run)
         return
       }
       const error = response.extract() as WorkerError
