--- a/src/platform/wire-configuration.ts
+++ b/src/platform/wire-configuration.ts
@@ -44,7 +44,7 @@
 const WireService = z.object({
   name: z.string(),
   standby: z.boolean().default(false),
-  rejects_overload: z.boolean().default(true)
+  rejects_overload: z.boolean().default(false)
 }).transform((service): WorkerPool => ({ name: service.name, isStandby: service.standby, rejectsOverload: service.rejects_overload }))
 
 const WireTenant = z.object({
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -176,7 +176,7 @@
 
   private _startRun (task: ScheduledTask, worker: FleetWorker, run: number): void {
     if (task.run !== run || task.worker !== worker || task.runState !== 'intended') return
-    if (task.step.job.isFinished || !this._workers.isSchedulable(worker)) {
+    if (task.step.job.isFinished || !this._workers.mayStart(worker, this._clock.now()) || worker.isOvercommitted) {
       if (task.step.definition.isGang) this.stopOtherGangMembers(task)
       this.requeue(task)
       return
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -85,6 +85,11 @@
     return this._leaseDeadline
   }
 
+  /** Whether the reservations exceed the capacity, which may have shrunk. */
+  get isOvercommitted (): boolean {
+    return !fitsWithin(this._reserved, this.entry.capacity)
+  }
+
   /** Returns whether the available resources cover a demand. */
   hasCapacityFor (demand: Resources): boolean {
     return fitsWithin(demand, this.available)
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -15,6 +15,9 @@
 /** Allows for orders of an earlier term that are still in flight. */
 const IN_FLIGHT_ORDER_MARGIN_MILLISECONDS = 500
 
+/** Age of the registry's view above which a capacity may have shrunk without notice, in milliseconds. */
+const MAXIMUM_CAPACITY_AGE_MILLISECONDS = 2_000
+
 /** Listed workers, and unlisted ones that may still run something. */
 export class WorkerTable {
   private readonly _workers = new Map<string, FleetWorker>()
@@ -23,10 +26,11 @@
   /**
    * @param _leaseDurations durations of the leases that owners request.
    * @param leasesRenewedUntil epoch milliseconds until which the previous owner may have renewed leases.
+   * @param _registryFreshAt returns the epoch milliseconds as of which the registry is known.
    */
   constructor (
     private readonly _configuration: ConfigurationFollowerTask, private readonly _leaseDurations: LeaseDurations, leasesRenewedUntil: number,
-    private readonly _clock: Clock, private readonly _log: DecisionLog
+    private readonly _registryFreshAt: () => number, private readonly _clock: Clock, private readonly _log: DecisionLog
   ) {
     this._inheritedLeasesExpireAt = leasesRenewedUntil + this._longestLeaseMilliseconds
   }
@@ -59,9 +63,18 @@
     return isListed && !entry.isDraining && !isCordoned && !this._configuration.isZoneOut(entry.availabilityZone)
   }
 
-  /** Returns whether new tasks may be placed on a worker now: it is schedulable, reachable, under a lease and not in cooldown. */
+  /**
+   * Returns whether a start may be sent to a worker now: it is schedulable, and its capacity is known. Where workers don't refuse what exceeds their
+   * capacity, a capacity that may have shrunk since counts as unknown.
+   */
+  mayStart (worker: FleetWorker, now: number): boolean {
+    const isCapacityKnown = this._configuration.pool(worker.entry.pool)?.rejectsOverload === true || this._registryFreshAt() > now - MAXIMUM_CAPACITY_AGE_MILLISECONDS
+    return this.isSchedulable(worker) && isCapacityKnown
+  }
+
+  /** Returns whether new tasks may be placed on a worker now: it may be sent starts, and is reachable, under a lease and not in cooldown. */
   isEligible (worker: FleetWorker, now: number): boolean {
-    return this.isSchedulable(worker) && worker.cooldownUntil <= now && worker.leaseDeadline > 0 &&
+    return this.mayStart(worker, now) && worker.cooldownUntil <= now && worker.leaseDeadline > 0 &&
       worker.lastReportAt > worker.suspectedSince && worker.reportDueAt >= now
   }
 
--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -25,6 +25,9 @@
 /** Reading of a worker's clock when it starts, in milliseconds. */
 const INITIAL_CLOCK_MILLISECONDS = 1_000
 
+/** Resources of a worker unless it is given others. */
+const DEFAULT_CAPACITY = { cpu: 64_000, mem_mb: 131_072 }
+
 /**
  * Executes runs under a lease that is measured on the worker's own clock, refuses calls with a lower fencing token than one
  * already seen, and reports run completions until they are acknowledged.
@@ -40,8 +43,8 @@
   isTerminated = false
   /** Rate of the worker's clock relative to the true clock. */
   clockRate = 1
-  /** Resources that the worker reports in its registry entry. */
-  capacity = { cpu: 64_000, mem_mb: 131_072 }
+  /** Resources that the worker has reported in its registry entry, each with the epoch milliseconds since when; the last one is in force. */
+  readonly capacities: { cpu: number, mem_mb: number, since: number }[] = []
   /** Time that a stop takes, in milliseconds. */
   stopMilliseconds = 0
   /** Called when a run crashes the worker. */
@@ -62,9 +65,20 @@
 
   constructor (
     readonly id: string, readonly pool: string, readonly address: string, readonly zone: string, readonly virtualMachine: string,
-    private readonly _clock: Clock, private readonly _outcome: (task: string, run: number) => RunOutcome, private readonly _maximumLeaseMilliseconds: number
+    private readonly _clock: Clock, private readonly _outcome: (task: string, run: number) => RunOutcome, private readonly _maximumLeaseMilliseconds: number, capacity = DEFAULT_CAPACITY
   ) {
     this.startedAt = _clock.now()
+    this.resize(capacity)
+  }
+
+  /** Resources that the worker reports. */
+  get capacity (): { cpu: number, mem_mb: number } {
+    return this.capacities[this.capacities.length - 1] ?? DEFAULT_CAPACITY
+  }
+
+  /** Changes the resources that the worker reports. */
+  resize (capacity: { cpu: number, mem_mb: number }): void {
+    this.capacities.push({ ...capacity, since: this._clock.now() })
   }
 
   /** Reading of the worker's own clock, in milliseconds. */
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -23,6 +23,10 @@
   storeLatencyMilliseconds = 4
   /** Extra latency of reads of the newest records, in milliseconds, by topic. */
   readonly newestReadDelays = new Map<string, number>()
+  /** Topics whose reads the store refuses. */
+  readonly unreadableTopics = new Set<string>()
+  /** Time after its start at which a worker registers, in milliseconds. */
+  registrationMilliseconds = 0
   /** Bandwidth of the link to a caller, in bytes per second; unlimited for a caller without an entry. */
   readonly linkBytesPerSecond = new Map<string, number>()
   /** Epoch milliseconds until which each limited link is busy. */
@@ -66,6 +70,7 @@
   /** Executes a call to the store under the current faults; returns null if the caller gets no response. */
   async apply (caller: string, call: string, topic: string, serve: () => Promise<StoreResponse>, clock: Clock): Promise<StoreResponse | null> {
     if (this.disconnectedCallers.has(caller)) return null
+    if (this.unreadableTopics.has(topic) && call !== 'log-append') return { status: 503, body: {} }
     if (this.refusalStatus !== 0) return { status: this.refusalStatus, body: {} }
     const delays = call === 'log-newest' ? this.newestReadDelays : call === 'log-append' ? this.appendDelays : null
     await clock.sleepUntil(clock.now() + this.storeLatencyMilliseconds + (delays?.get(topic) ?? 0))
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -132,8 +132,8 @@
   }
 
   /** Starts a new incarnation of a worker, with the same ID and address. */
-  restart (worker: EmulatedWorker): EmulatedWorker {
-    const restarted = new EmulatedWorker(worker.id, worker.pool, worker.address, worker.zone, worker.virtualMachine, this._clock, this._outcome, MAXIMUM_LEASE_MILLISECONDS)
+  restart (worker: EmulatedWorker, capacity = worker.capacity): EmulatedWorker {
+    const restarted = new EmulatedWorker(worker.id, worker.pool, worker.address, worker.zone, worker.virtualMachine, this._clock, this._outcome, MAXIMUM_LEASE_MILLISECONDS, capacity)
     this._add(restarted)
     return restarted
   }
@@ -145,7 +145,7 @@
 
   /** Changes the capacity of a worker, as its registry entry shows it. */
   resize (worker: EmulatedWorker, capacity: EmulatedWorker['capacity']): void {
-    worker.capacity = capacity
+    worker.resize(capacity)
     this._register(worker)
   }
 
@@ -225,7 +225,9 @@
     worker.onCrash = () => { this._crashAndRestart(worker).catch(() => {}) }
     this._onWorkerAdded(worker)
     this._workersByAddress.set(worker.address, worker)
-    this._register(worker)
+    const { registrationMilliseconds } = this.faults
+    if (registrationMilliseconds === 0) this._register(worker)
+    else this._clock.sleepUntil(this._clock.now() + registrationMilliseconds).then(() => this._register(worker)).catch(() => {})
   }
 
   private _register (worker: EmulatedWorker): void {
--- a/stand-ins/emulator/worker-registry-entry.ts
+++ b/stand-ins/emulator/worker-registry-entry.ts
@@ -15,7 +15,7 @@
     cold_remaining_ms: 0,
     seq: 1,
     born: worker.startedAt,
-    capacity: worker.capacity,
+    capacity: { cpu: worker.capacity.cpu, mem_mb: worker.capacity.mem_mb },
     labels: ['a', rack],
     clock_ms: worker.clockMilliseconds
   }
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -57,7 +57,7 @@
   }
 
   /** Publishes a configuration with one pool, a standby pool, one queue and one team. */
-  configure (overrides: { upperLimit?: number, advice?: boolean, routes?: object[], keys?: string[], maximumAttempts?: number, hasStandby?: boolean } = {}): void {
+  configure (overrides: { upperLimit?: number, advice?: boolean, routes?: object[], keys?: string[], maximumAttempts?: number, hasStandby?: boolean, rejectsOverload?: boolean } = {}): void {
     this._version += 1
     const route = {
       name: 'queue',
@@ -73,7 +73,7 @@
     this.emulator.publish('config', {
       version: this._version,
       routes: [route, ...overrides.routes ?? []],
-      services: [{ name: 'work' }, ...overrides.hasStandby === false ? [] : [{ name: 'standby', standby: true }]],
+      services: [{ name: 'work', rejects_overload: overrides.rejectsOverload ?? true }, ...overrides.hasStandby === false ? [] : [{ name: 'standby', standby: true }]],
       tenants: [{ name: 'team', api_keys: overrides.keys ?? [KEY], weight: 10, max_count: { cpu: overrides.upperLimit ?? 0, mem_mb: 0, gpus: 0 } }],
       limits: { max_body_bytes: 262_144 }
     })
