--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -19,6 +19,8 @@
 /** Reservations, clock and lease of a worker in its current incarnation. */
 export class FleetWorker {
   entry: WorkerEntry
+  /** Whether the registry has shown the entry of the present incarnation. */
+  isEntryCurrent = true
   /** Whether the registry currently lists the worker. */
   isListed = true
   /** Epoch milliseconds at which this term first saw the registry entry; 0 for a placeholder. */
@@ -136,6 +138,7 @@
    */
   startIncarnation (incarnation: number, unknownLeasesExpireAt: number): void {
     this.entry = { ...this.entry, incarnation }
+    this.isEntryCurrent = false
     this._unknownLeasesExpireAt = unknownLeasesExpireAt
     this._leaseDeadline = 0
     this._workerClockAtReport = 0
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -69,7 +69,7 @@
    */
   mayStart (worker: FleetWorker, now: number): boolean {
     const isCapacityKnown = this._configuration.pool(worker.entry.pool)?.rejectsOverload === true || this._registryFreshAt() > now - MAXIMUM_CAPACITY_AGE_MILLISECONDS
-    return this.isSchedulable(worker) && isCapacityKnown
+    return this.isSchedulable(worker) && worker.isEntryCurrent && isCapacityKnown
   }
 
   /** Returns whether new tasks may be placed on a worker now: it may be sent starts, and is reachable, under a lease and not in cooldown. */
@@ -99,6 +99,7 @@
     if (!known) return this._add(entry)
     if (known.entry.isDraining !== entry.isDraining) this._log.emit('worker drain state changed', { worker: entry.id, isDraining: entry.isDraining, runs: known.tasks.size })
     known.entry = entry
+    known.isEntryCurrent = true
     known.isListed = true
     return known
   }
--- a/tests/shrinking-capacity.test.ts
+++ b/tests/shrinking-capacity.test.ts
@@ -77,3 +77,18 @@
   expect(await fleet.state('one', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
   expect(excessiveStarts(fleet.emulator.workerIncarnations)).toEqual([])
 })
+
+test('a worker that restarts with less capacity gets no more than that before it has registered', async () => {
+  const fleet = await createFleet(1, ['one'])
+  const [worker] = fleet.emulator.workerIncarnations
+  if (!worker) throw new Error('no worker')
+  fleet.emulator.faults.registrationMilliseconds = 1_500
+  fleet.emulator.crash(worker)
+  await fleet.clock.advance(300)
+  fleet.emulator.restart(worker, { cpu: 8_000, mem_mb: 131_072 })
+  await fleet.clock.advance(600)
+  await submitLoad(fleet, 'aaaa')
+  await fleet.clock.advance(30_000)
+  expect(await fleet.state('one', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+  expect(excessiveStarts(fleet.emulator.workerIncarnations)).toEqual([])
+})
