--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -67,6 +67,10 @@
 
   /** Applies the completion of a task's current run. */
   runCompleted (task: ScheduledTask, { result, checkpoint }: RunCompletion): void {
+    if (task.phase === 'done') {
+      this.requeue(task)
+      return
+    }
     if (checkpoint !== '') task.checkpoint = checkpoint
     const { isGang, isLasting } = task.step.definition
     if (result === 'done' && !isLasting) {
@@ -86,8 +90,8 @@
       this._writer.writeStep(task.step)
     }
     if (completion.result !== 'done') return
-    if (task.phase === 'placed') this.stop(task)
-    this._finishTask(task, 'done')
+    if (task.phase === 'placed') this._stopObsoleteRun(task)
+    else this._finishTask(task, 'done')
     this._updateJob(task.step)
   }
 
@@ -145,7 +149,7 @@
     for (const member of task.step.tasks) if (member !== task && member.run === task.run && member.phase === 'placed') this.stop(member)
   }
 
-  /** Puts a task whose current run doesn't exist back into the queue, unless it is given up. */
+  /** Releases a task whose current run doesn't exist, and puts it back into the queue unless it is done or given up. */
   requeue (task: ScheduledTask): void {
     this._reservations.release(task)
     if (task.phase === 'placed') {
@@ -197,6 +201,14 @@
     return queue !== null && task.failedRuns.length >= queue.maximumAttempts
   }
 
+  /** Stops the current run of a task that an earlier run has completed. Its reservation remains until it has ended. */
+  private _stopObsoleteRun (task: ScheduledTask): void {
+    this.stop(task)
+    if (task.runState === 'intended') this._reservations.release(task)
+    task.phase = 'done'
+    this._writer.writeStep(task.step)
+  }
+
   private _finishTask (task: ScheduledTask, phase: 'done' | 'failed'): void {
     this._reservations.release(task)
     task.phase = phase
--- a/src/scheduling/start-outcome-handler.ts
+++ b/src/scheduling/start-outcome-handler.ts
@@ -23,7 +23,7 @@
 
   /** Records that the worker accepted the start order. */
   startAccepted (task: ScheduledTask, run: number): void {
-    if (task.run !== run || task.phase !== 'placed') return
+    if (task.run !== run || task.worker === null) return
     if (task.runState === 'starting') task.runState = 'running'
     task.confirmedAt = this._clock.now()
   }
@@ -46,7 +46,7 @@
    */
   startUnconfirmed (task: ScheduledTask, worker: FleetWorker, run: number, sentAt: number): void {
     this._workers.suspect(worker, sentAt)
-    if (task.run !== run || task.phase !== 'placed') return
+    if (task.run !== run || task.worker === null) return
     this._metrics.count('runs.unsettled')
     this._log.emit('start unsettled', { task: task.name, run, worker: task.workerId })
     task.runState = 'settling'
@@ -56,7 +56,7 @@
   /** Records that the worker confirmed the stop of a run: a report requested from now on shows whether the run exists. */
   stopConfirmed (taskName: string, run: number): void {
     const task = this._jobs.findTask(taskName)
-    if (!task || task.run !== run || task.phase !== 'placed') return
+    if (!task || task.run !== run || task.worker === null) return
     task.confirmedAt = Math.min(task.confirmedAt, this._clock.now())
   }
 }
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -99,7 +99,7 @@
   private _stopIfOrphaned (worker: FleetWorker, { task: name, run }: ActiveRun): void {
     const task = this._jobs.findTask(name)
     if (task?.worker === worker && task.run === run) {
-      if (task.step.job.isFinished) this._schedule.stop(task)
+      if (task.step.job.isFinished || task.phase === 'done') this._schedule.stop(task)
       return
     }
     this._metrics.count('runs.stray')
--- a/tests/shrinking-capacity.test.ts
+++ b/tests/shrinking-capacity.test.ts
@@ -92,3 +92,26 @@
   expect(await fleet.state('one', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
   expect(excessiveStarts(fleet.emulator.workerIncarnations)).toEqual([])
 })
+
+test('a run that is being stopped counts until it has ended, also if its task is done elsewhere', async () => {
+  const fleet = await createFleet(2, ['one'])
+  for (const worker of fleet.emulator.workerIncarnations) {
+    fleet.emulator.resize(worker, { cpu: 4_000, mem_mb: 131_072 })
+    worker.stopMilliseconds = 400
+  }
+  await fleet.clock.advance(500)
+  fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: 2_000, result: 'done' })
+  await fleet.submit('one', 'aaaa', [{}])
+  await fleet.clock.advance(1_000)
+  const first = fleet.emulator.workerIncarnations.find(({ running }) => running.length > 0)
+  if (first) first.isDisconnected = true
+  // The run is done behind the cut; after the lease has expired, the task starts again on the other worker.
+  fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: 60_000, result: 'done' })
+  await fleet.clock.advance(14_000)
+  expect(fleet.starts('aaaa.0.0.0')).toHaveLength(2)
+  for (let index = 0; index < 2; index++) await fleet.submit('one', `bbb${index}`, [{}])
+  if (first) first.isDisconnected = false
+  await fleet.clock.advance(10_000)
+  for (const job of ['aaaa', 'bbb0', 'bbb1']) expect(await fleet.state('one', job)).toEqual({ kind: 'state', state: 'completed' })
+  expect(excessiveStarts(fleet.emulator.workerIncarnations)).toEqual([])
+})
