--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -37,10 +37,11 @@
    * Handles proof that an incarnation of a worker has ended. Unless its end was planned it has crashed.
    *
    * @param lost the tasks whose runs ended with it; those of the worker's other tasks may be on its next incarnation.
+   * @param survivors the tasks whose runs certainly are.
    */
-  incarnationEnded (worker: FleetWorker, cause: 'replaced' | 'worker restarted', lost: readonly ScheduledTask[]): void {
+  incarnationEnded (worker: FleetWorker, cause: 'replaced' | 'worker restarted', lost: readonly ScheduledTask[], survivors: readonly ScheduledTask[] = []): void {
     const isCrash = this._isUnplanned(worker)
-    const crashes = isCrash ? this._attribution.attribute(worker) : []
+    const crashes = isCrash ? this._attribution.attribute(worker).filter(({ task }) => !survivors.includes(task)) : []
     this._metrics.count('workers.ended', 1, isCrash ? 'unplanned' : 'planned')
     this._logLoss('worker ended', worker, cause, crashes)
     for (const task of lost) this._schedule.runLost(task, cause)
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -48,7 +48,7 @@
    * @param requestedAt epoch milliseconds at which the report was requested: it must contain all runs confirmed before.
    */
   applyReport (worker: FleetWorker, report: WorkerReport, requestedAt: number): void {
-    if (report.incarnation !== 0 && report.incarnation !== worker.entry.incarnation) this._startIncarnation(worker, report.incarnation, report.running)
+    if (report.incarnation !== 0 && report.incarnation !== worker.entry.incarnation) this._startIncarnation(worker, report.incarnation, [...report.running, ...report.ended])
     const isFirst = worker.lastReportAt === 0
     worker.recordReport(report.clock, this._clock.now())
     this._applyCompletions(worker, report.ended)
@@ -117,14 +117,12 @@
     this._log.emit('worker in cooldown', { worker: worker.entry.id, failuresInRow: worker.consecutiveFailures, until: Math.round(worker.cooldownUntil) })
   }
 
-  /** Switches a worker to a new incarnation, in which only runs started since its restart exist. */
-  private _startIncarnation (worker: FleetWorker, incarnation: number, running: readonly ActiveRun[]): void {
+  /** Switches a worker to a new incarnation, in which only runs started since its restart exist, such as those that it has reported. */
+  private _startIncarnation (worker: FleetWorker, incarnation: number, reported: ReadonlyArray<Pick<ActiveRun, 'task' | 'run'>>): void {
     this._log.emit('worker restarted', { worker: worker.entry.id, from: worker.entry.incarnation, to: incarnation, runs: worker.tasks.size })
-    const lost = [...worker.tasks].filter(task => {
-      const isReported = running.some(activeRun => activeRun.task === task.name && activeRun.run === task.run)
-      return !isReported && task.runState !== 'starting' && task.runState !== 'settling' && task.runState !== 'intended'
-    })
-    this._losses.incarnationEnded(worker, 'worker restarted', lost)
+    const survivors = [...worker.tasks].filter(({ name, run }) => reported.some(other => other.task === name && other.run === run))
+    const lost = [...worker.tasks].filter(task => !survivors.includes(task) && task.runState !== 'starting' && task.runState !== 'settling' && task.runState !== 'intended')
+    this._losses.incarnationEnded(worker, 'worker restarted', lost, survivors)
     worker.startIncarnation(incarnation, this._workers.unknownLeasesExpireAt)
     for (const task of worker.tasks) if (task.runState !== 'intended') task.incarnation = incarnation
     this._schedule.markChanged()
--- a/tests/crashing-tasks.test.ts
+++ b/tests/crashing-tasks.test.ts
@@ -193,6 +193,21 @@
   expect(await fleet.state('two', 'aaaa')).toEqual({ kind: 'state', state: 'running' })
 })
 
+test('runs that were started on the next incarnation before the restart was known are not blamed for it', async () => {
+  const fleet = await EmulatedFleet.create(1, ['one'])
+  const [worker] = fleet.emulator.workerIncarnations
+  if (!worker) throw new Error('no worker')
+  // Without downtime and before the worker has registered again, the owner learns of the restart by the next report.
+  fleet.emulator.faults.registrationMilliseconds = 4_000
+  fleet.emulator.crash(worker)
+  fleet.emulator.restart(worker)
+  await fleet.clock.advance(100)
+  await fleet.submit('one', 'bbbb', [{ count: 4 }])
+  await fleet.clock.advance(10_000)
+  expect(await fleet.state('one', 'bbbb')).toEqual({ kind: 'state', state: 'completed' })
+  expect(fleet.nodes.get('one')?.log.fieldsOf('worker crashed under run')).toEqual([])
+})
+
 test('tasks whose workers all crash twice complete', async () => {
   const fleet = await EmulatedFleet.create(4, ['one', 'two'])
   for (let index = 0; index < 20; index++) fleet.outcomesByTask.set(`aaaa.0.0.${index}`, { milliseconds: 4_000, result: 'done' })
