--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -25,6 +25,8 @@
   isListed = true
   /** Epoch milliseconds at which this term first saw the registry entry; 0 for a placeholder. */
   firstSeenAt = 0
+  /** Whether the worker has reported runs that no placement accounts for, so that more of its resources are in use than are reserved. */
+  hasOrphanedRuns = false
   /** Whether the worker gets nothing new because its VM is needed for maintenance or a move. */
   isCordoned = false
   /** Epoch milliseconds until which the worker gets nothing new after failed runs or a refused order. */
@@ -139,6 +141,7 @@
   startIncarnation (incarnation: number, unknownLeasesExpireAt: number): void {
     this.entry = { ...this.entry, incarnation }
     this.isEntryCurrent = false
+    this.hasOrphanedRuns = false
     this._unknownLeasesExpireAt = unknownLeasesExpireAt
     this._leaseDeadline = 0
     this._workerClockAtReport = 0
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -53,7 +53,7 @@
     worker.recordReport(report.clock, this._clock.now())
     this._applyCompletions(worker, report.ended)
     this._applyActiveRuns(worker, report.running, requestedAt)
-    for (const activeRun of report.running) this._stopIfOrphaned(worker, activeRun)
+    this._stopUnneededRuns(worker, report.running)
     if (isFirst) this._schedule.markChanged()
   }
 
@@ -95,16 +95,22 @@
     task.load = activeRun.load
   }
 
-  /** Stops a run that no current placement accounts for, or whose job has finished. */
-  private _stopIfOrphaned (worker: FleetWorker, { task: name, run }: ActiveRun): void {
-    const task = this._jobs.findTask(name)
-    if (task?.worker === worker && task.run === run) {
-      if (task.step.job.isFinished || task.phase === 'done') this._schedule.stop(task)
-      return
+  /** Stops runs that no current placement accounts for, or whose task or job has finished. */
+  private _stopUnneededRuns (worker: FleetWorker, running: readonly ActiveRun[]): void {
+    let orphans = 0
+    for (const { task: name, run } of running) {
+      const task = this._jobs.findTask(name)
+      if (task?.worker === worker && task.run === run) {
+        if (task.step.job.isFinished || task.phase === 'done') this._schedule.stop(task)
+        continue
+      }
+      orphans += 1
+      this._metrics.count('runs.stray')
+      this._log.emit('orphaned run', { task: name, run, worker: worker.entry.id })
+      this._dispatcher.stop(worker, name, run)
     }
-    this._metrics.count('runs.stray')
-    this._log.emit('orphaned run', { task: name, run, worker: worker.entry.id })
-    this._dispatcher.stop(worker, name, run)
+    if (worker.hasOrphanedRuns && orphans === 0) this._schedule.markChanged()
+    worker.hasOrphanedRuns = orphans > 0
   }
 
   /** Puts a worker into cooldown after several consecutive failed runs. */
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -74,7 +74,7 @@
 
   /** Returns whether new tasks may be placed on a worker now: it may be sent starts, and is reachable, under a lease and not in cooldown. */
   isEligible (worker: FleetWorker, now: number): boolean {
-    return this.mayStart(worker, now) && worker.cooldownUntil <= now && worker.leaseDeadline > 0 &&
+    return this.mayStart(worker, now) && worker.cooldownUntil <= now && !worker.hasOrphanedRuns && worker.leaseDeadline > 0 &&
       worker.lastReportAt > worker.suspectedSince && worker.reportDueAt >= now
   }
 
--- a/tests/shrinking-capacity.test.ts
+++ b/tests/shrinking-capacity.test.ts
@@ -115,3 +115,20 @@
   for (const job of ['aaaa', 'bbb0', 'bbb1']) expect(await fleet.state('one', job)).toEqual({ kind: 'state', state: 'completed' })
   expect(excessiveStarts(fleet.emulator.workerIncarnations)).toEqual([])
 })
+
+test('nothing starts beside a run that no placement accounts for until it has ended', async () => {
+  const fleet = await createFleet(1, ['one'])
+  const [worker] = fleet.emulator.workerIncarnations
+  if (!worker) throw new Error('no worker')
+  fleet.emulator.resize(worker, { cpu: 4_000, mem_mb: 131_072 })
+  worker.stopMilliseconds = 400
+  await fleet.clock.advance(CAPACITY_GRACE_MILLISECONDS)
+  fleet.outcomesByTask.set('cccc.0.0.0', { milliseconds: 60_000, result: 'done' })
+  const term = Number(fleet.nodes.get('one')?.log.fieldsOf('term begins')[0]?.term)
+  await worker.handle('run-start', { task: 'cccc.0.0.0', run: 1, deadline_ms: worker.clockMilliseconds + 60_000, fencing_token: term } as never)
+  while (fleet.nodes.get('one')?.log.fieldsOf('orphaned run').length === 0) await fleet.clock.advance(10)
+  await fleet.submit('one', 'aaaa', [{}])
+  await fleet.clock.advance(5_000)
+  expect(await fleet.state('one', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+  expect(excessiveStarts(fleet.emulator.workerIncarnations)).toEqual([])
+})
