--- a/src/platform/http-client.ts
+++ b/src/platform/http-client.ts
@@ -8,6 +8,7 @@
 import type { CallResponse } from './call-response.js'
 import { CallClient } from './call-client.js'
 import { CallError } from './call-error.js'
+import { createResettingConnector } from './create-resetting-connector.js'
 import { HttpCall } from './http-call.js'
 
 /** Limit on establishing a connection, in milliseconds; bounds the wait for an address that does not respond. */
@@ -16,7 +17,7 @@
 /** How long an idle connection is kept, in milliseconds. The platform charges for new connections but not for idle ones. */
 const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 60_000
 
-/** Pools keep-alive connections to one address. A call that times out closes its connection. */
+/** Pools keep-alive connections to one address. A call that times out resets its connection, so that its request doesn't arrive later. */
 export class HttpClient extends CallClient {
   private readonly _pool: Pool
 
@@ -28,7 +29,7 @@
     super()
     this._pool = new Pool(`http://${address}`, {
       connections: maximumConnections,
-      connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+      connect: createResettingConnector(CONNECT_TIMEOUT_MILLISECONDS),
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MILLISECONDS,
       keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MILLISECONDS,
       headersTimeout: 0,
--- a/tests/platform-http-clients.test.ts
+++ b/tests/platform-http-clients.test.ts
@@ -3,7 +3,7 @@
  */
 import { once } from 'node:events'
 import { createServer } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net'
 import { Worker } from 'node:worker_threads'
 import { afterEach, expect, test } from 'vitest'
 import type { WorkerError } from '../src/scheduling/worker-error.js'
@@ -127,6 +127,24 @@
   await httpClient.close()
 })
 
+test('a call that is given up resets its connection, so that a partition that heals does not deliver it', async () => {
+  const ends: string[] = []
+  const server = createTcpServer(socket => {
+    socket.resume()
+    socket.on('end', () => ends.push('orderly'))
+    socket.on('error', (error: NodeJS.ErrnoException) => ends.push(error.code ?? ''))
+  }).listen(0, '127.0.0.1')
+  cleanups.push(() => server.close())
+  await once(server, 'listening')
+  const httpClient = new HttpClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, 1, clock)
+  const connected = once(server, 'connection') as Promise<[Socket]>
+  expect((await httpClient.call({ method: 'POST', path: '/order', body: {}, deadline: clock.now() + 200, signal })).extract()).toMatchObject({ kind: 'unknown' })
+  const [socket] = await connected
+  if (!socket.closed) await new Promise(resolve => socket.once('close', resolve))
+  expect(ends).toEqual(['ECONNRESET'])
+  await httpClient.close()
+})
+
 test('a response that arrives while the process is held up past the deadline is not given up', async () => {
   const source = `
     const { parentPort } = require('node:worker_threads')
