--- a/soak/job-entry.ts
+++ b/soak/job-entry.ts
@@ -9,6 +9,8 @@
   readonly tasks: readonly string[]
   /** Whether the job runs until it is cancelled. */
   readonly isLasting: boolean
+  /** Whether the job's first task crashes every worker that starts it. */
+  readonly isDeadly: boolean
   /** Epoch milliseconds of the response that accepted the job; Infinity before. */
   acceptedAt: number
   /** Number of submission attempts without a response, or with one that leaves the outcome unknown. */
--- a/soak/job-ledger.ts
+++ b/soak/job-ledger.ts
@@ -8,6 +8,8 @@
 export class JobLedger {
   readonly jobs = new Map<string, JobEntry>()
   readonly findings: string[] = []
+  /** Number of jobs, from the next one on, with a task that crashes its workers. */
+  deadlyJobsDue = 0
   /** Number of responses by call and status; status 0 stands for no response. */
   readonly responseCounts = new Map<string, number>()
 
@@ -16,7 +18,9 @@
 
   /** Adds a job before its first submission attempt. */
   add (id: string, tasks: readonly string[], isLasting: boolean): JobEntry {
-    const entry: JobEntry = { id, tasks, isLasting, acceptedAt: Infinity, unconfirmedAttempts: 0, cancelledAt: Infinity, isCancellationSent: false, state: '', stateReadAt: 0 }
+    const isDeadly = !isLasting && this.deadlyJobsDue > 0
+    if (isDeadly) this.deadlyJobsDue -= 1
+    const entry: JobEntry = { id, tasks, isLasting, isDeadly, acceptedAt: Infinity, unconfirmedAttempts: 0, cancelledAt: Infinity, isCancellationSent: false, state: '', stateReadAt: 0 }
     this.jobs.set(id, entry)
     return entry
   }
@@ -36,6 +40,7 @@
     if (entry.state === 'completed' && state !== 'completed' && !isStale) this.findings.push(`${entry.id}: reported as completed, and later as ${state}`)
     if (state === 'completed' && !this._areTasksDone(entry)) this.findings.push(`${entry.id}: reported as completed before all its tasks were done`)
     if (state === 'cancelled' && !entry.isCancellationSent) this.findings.push(`${entry.id}: reported as cancelled, but its caller sent no cancellation`)
+    if (state === 'failed' && !entry.isDeadly) this.findings.push(`${entry.id}: reported as failed, but none of its tasks fails`)
     if (isStale && entry.state === 'completed') return
     entry.state = state
     entry.stateReadAt = Date.now()
--- a/soak/soak-checks.ts
+++ b/soak/soak-checks.ts
@@ -13,6 +13,9 @@
 /** The platform's upper bound on the time from a cancellation until no task of the job starts. */
 const CANCELLATION_BOUND_MILLISECONDS = 3_000
 
+/** Starts after its third crash with which a task breaks the platform's rule. */
+const MAXIMUM_STARTS_AFTER_THIRD_CRASH = 3
+
 /** Interval between two checks of a condition. */
 const POLL_INTERVAL_MILLISECONDS = 500
 
@@ -28,7 +31,7 @@
     const lasting = accepted.filter(({ isLasting, isCancellationSent }) => isLasting && !isCancellationSent)
     const unfinished = await this._unsatisfied(ordinary, async entry => {
       await this._caller.queryState(entry)
-      return entry.state === 'completed' || (entry.isCancellationSent && entry.state === 'cancelled')
+      return entry.state === (entry.isDeadly ? 'failed' : 'completed') || (entry.isCancellationSent && entry.state === 'cancelled')
     })
     const incomplete = await this._unsatisfied(lasting, async ({ tasks }) => tasks.every(task => emulator.workerIncarnations.some(({ running }) => running.includes(task))))
     return [
@@ -36,6 +39,7 @@
       ...unfinished.map(({ id, state }) => `${id}: accepted, but ${state === '' ? 'in an unknown state' : state} ${COMPLETION_BOUND_MILLISECONDS} ms after the last fault`),
       ...incomplete.map(({ id }) => `${id}: a task of this lasting job isn't running`),
       ...runViolations(emulator.workerIncarnations),
+      ...this._crashingTasks(),
       ...this._runsOfRefusedJobs(),
       ...this._startsAfterCancellation(),
       ...nodes.flatMap(({ unexpectedExits }) => unexpectedExits)
@@ -55,6 +59,18 @@
     return pending
   }
 
+  /** Finds tasks that were started too often after they had crashed several workers. */
+  private _crashingTasks (): string[] {
+    const { ledger: { jobs }, emulator: { workerIncarnations } } = this._fleet
+    const startTimes = this._startTimes()
+    return [...jobs.values()].filter(({ isDeadly }) => isDeadly).flatMap(({ tasks: [task = ''] }) => {
+      const crashes = workerIncarnations.flatMap(({ completions }) => completions.filter(completion => completion.task === task && completion.result === 'killed')).map(({ completedAt }) => completedAt)
+      const thirdCrashAt = crashes.sort((left, right) => left - right)[2] ?? Infinity
+      const startsAfter = (startTimes.get(task) ?? []).filter(startedAt => startedAt > thirdCrashAt).length
+      return startsAfter >= MAXIMUM_STARTS_AFTER_THIRD_CRASH ? [`${task}: started ${startsAfter} times more after it had crashed three workers`] : []
+    })
+  }
+
   private _runsOfRefusedJobs (): string[] {
     const refused = [...this._fleet.ledger.jobs.values()].filter(({ acceptedAt, unconfirmedAttempts }) => acceptedAt === Infinity && unconfirmedAttempts === 0)
     const startTimes = this._startTimes()
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -30,6 +30,9 @@
 /** Bounds of the duration of a run. */
 const RUN_DURATION_MILLISECONDS = { minimum: 200, maximum: 1_500 }
 
+/** Time after its start at which a deadly run crashes its worker. */
+const CRASH_DELAY_MILLISECONDS = 10
+
 /** Clock rate of every third worker; a worker's clock may be this slow. */
 const SLOW_CLOCK_RATE = 0.98
 
@@ -123,8 +126,10 @@
     this._server.close()
   }
 
-  private _runOutcome (task: string): { milliseconds: number, result: 'done' | 'failed' } {
-    const isLasting = this.ledger.jobs.get(task.split('.')[0] ?? '')?.isLasting ?? false
+  private _runOutcome (task: string): ReturnType<ConstructorParameters<typeof PlatformEmulator>[1]> {
+    const job = this.ledger.jobs.get(task.split('.')[0] ?? '')
+    if (job?.isDeadly && job.tasks[0] === task) return { milliseconds: CRASH_DELAY_MILLISECONDS, result: 'crash' }
+    const isLasting = job?.isLasting ?? false
     return { milliseconds: isLasting ? Infinity : RUN_DURATION_MILLISECONDS.minimum + this._random.integer(RUN_DURATION_MILLISECONDS.maximum - RUN_DURATION_MILLISECONDS.minimum), result: 'done' }
   }
 
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -6,6 +6,7 @@
 import { CallerTask } from './caller-task.js'
 import { FaultInjectionTask } from './fault-injection-task.js'
 import { BlackholedConnections } from './faults/blackholed-connections.js'
+import { DeadlyJobs } from './faults/deadly-jobs.js'
 import { DelayedConnections } from './faults/delayed-connections.js'
 import { FleetKill } from './faults/fleet-kill.js'
 import { HistoryCompaction } from './faults/history-compaction.js'
@@ -80,7 +81,7 @@
     return [
       new ProcessKill(), new FleetKill(), new ProcessPause(), new PlannedRestart(), new PlannedRestart(), new SettingsReload(),
       new StoreRefusal(), new SlowStore(), new LostAppendResponses(), new HistoryCompaction(), new StoreDisconnection(), new WorkerDisconnection(),
-      new DelayedConnections(), new ResetConnections(), new BlackholedConnections(), new WorkerCrash(), new LateStarts(),
+      new DelayedConnections(), new ResetConnections(), new BlackholedConnections(), new WorkerCrash(), new DeadlyJobs(), new LateStarts(),
       new MaintenanceWave(), new ZoneEvacuation(), new KeyWithdrawal()
     ]
   }
--- a/stand-ins/emulator/emulator-server.ts
+++ b/stand-ins/emulator/emulator-server.ts
@@ -37,13 +37,17 @@
     }
   }
 
-  /** Sends the emulator's response; if it gives none, the connection stays open without one. */
+  /** Sends the emulator's response; if it gives none, the connection stays open without one, unless nothing is at the address any more. */
   private async _respond (address: string, message: IncomingMessage, response: ServerResponse): Promise<void> {
     const chunks: Buffer[] = []
     for await (const chunk of message as AsyncIterable<Buffer>) chunks.push(chunk)
     const headers = Object.fromEntries(Object.entries(message.headers).map(([name, value]) => [name, String(value)]))
     const result = await this._emulator.handle({ caller: 'http', address, path: message.url ?? '/', headers, body: Buffer.concat(chunks) })
-    if (!result) return
+    if (!result) {
+      // The process behind the address has ended.
+      if (this._emulator.refusesConnections(address)) message.socket.resetAndDestroy()
+      return
+    }
     response.statusCode = result.status
     response.end(result.body)
   }
