--- a/src/scheduling/crash-attribution-policy.ts
+++ b/src/scheduling/crash-attribution-policy.ts
@@ -1,14 +1,8 @@
 /**
  * Interface of the policy that finds out which runs may have crashed their worker.
  */
-import type { RunCrash } from '../jobs/run-crash.js'
+import type { AttributedCrash } from './attributed-crash.js'
 import type { FleetWorker } from './fleet-worker.js'
-import type { ScheduledTask } from './scheduled-task.js'
-
-/** A task with a crash of its current run. */
-export interface AttributedCrash extends RunCrash {
-  readonly task: ScheduledTask
-}
 
 /** Decides on the part that each run of a crashed worker had in the crash. */
 export abstract class CrashAttributionPolicy {
--- a/src/scheduling/recent-start-attribution-policy.ts
+++ b/src/scheduling/recent-start-attribution-policy.ts
@@ -1,7 +1,8 @@
 /**
  * The default attribution of crashes.
  */
-import { type AttributedCrash, CrashAttributionPolicy } from './crash-attribution-policy.js'
+import type { AttributedCrash } from './attributed-crash.js'
+import { CrashAttributionPolicy } from './crash-attribution-policy.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { ScheduledTask } from './scheduled-task.js'
 
