--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -99,8 +99,8 @@
     return fitsWithin(demand, this.available)
   }
 
-  /** Whether an isolated run is on trial on the worker, other than those that are isolated together with the given task. */
-  isOnTrialFor (task: ScheduledTask): boolean {
+  /** Whether an isolated run on trial keeps a task from starting on the worker; those that are isolated together with it do not. */
+  blocksStartOf (task: ScheduledTask): boolean {
     for (const isolated of this._isolatedTasks) if (isolated.isOnTrial && isolated.isolationGroup !== task.isolationGroup) return true
     return false
   }
--- a/src/scheduling/run-isolation.ts
+++ b/src/scheduling/run-isolation.ts
@@ -27,13 +27,13 @@
 
   /** Whether the task may start on a worker beside the runs that are there. */
   permits (task: ScheduledTask, worker: FleetWorker): boolean {
-    if (this._withheld.has(worker) || worker.isOnTrialFor(task)) return false
+    if (this._withheld.has(worker) || worker.blocksStartOf(task)) return false
     return !this.applies(task) || [...worker.tasks].every(other => !other.isOnTrial || other.isolationGroup === task.isolationGroup)
   }
 
   /** Whether another worker of a pool may take part in a trial. */
   hasRoom (workers: readonly FleetWorker[], task: ScheduledTask): boolean {
-    const busy = workers.filter(worker => this._withheld.has(worker) || worker.isOnTrialFor(task)).length
+    const busy = workers.filter(worker => this._withheld.has(worker) || worker.blocksStartOf(task)).length
     return busy < Math.max(1, Math.floor(workers.length * MAXIMUM_TRIAL_FRACTION))
   }
 
@@ -64,7 +64,7 @@
     let best: FleetWorker | null = null
     let bestStart = Infinity
     for (const worker of candidates) {
-      if (this._withheld.has(worker) || worker.isOnTrialFor(task)) continue
+      if (this._withheld.has(worker) || worker.blocksStartOf(task)) continue
       const newestStart = Math.max(0, ...[...worker.tasks].filter(({ isOnTrial }) => isOnTrial).map(({ startOrderedAt }) => startOrderedAt === 0 ? this._now : startOrderedAt))
       if (newestStart >= bestStart) continue
       best = worker
