--- a/review/stand-ins/minion.mjs
+++ b/review/stand-ins/minion.mjs
@@ -15,6 +15,7 @@
 
 /** A minion with a server of its own on a loopback port. */
 export class Minion {
+  /** What runs, by task and run. */
   running = new Map()
   ended = []
   /** Whether the minion lets no call through. */
@@ -132,7 +133,7 @@
   }
 
   #startRun ({ task, run, spec, deadline_ms: deadline, last_checkpoint: checkpoint = '' }) {
-    if (this.running.get(task)?.run === run) return { status: 200, body: {} }
+    if (this.running.has(`${task} ${run}`)) return { status: 200, body: {} }
     if (run <= (this.#highestRuns.get(task) ?? 0)) {
       this.#extendLease(deadline)
       return { status: 409, body: { reason: 'old' } }
@@ -143,14 +144,14 @@
     if (cpu > this.freeCpu) return { status: 409, body: { reason: 'room' } }
     this.#highestRuns.set(task, run)
     const entry = { task, run, cpu, percent: 100, timer: ms === Infinity ? undefined : setTimeout(() => this.#end(task, run, how), ms) }
-    this.running.set(task, entry)
+    this.running.set(`${task} ${run}`, entry)
     this.journal.started(this, task, run, spec, checkpoint)
     return { status: 200, body: {} }
   }
 
   #stopRun ({ task, run }) {
     this.#highestRuns.set(task, Math.max(this.#highestRuns.get(task) ?? 0, run))
-    if (this.running.get(task)?.run === run) this.#end(task, run, 'stopped')
+    this.#end(task, run, 'stopped')
     return { status: 200, body: {} }
   }
 
@@ -175,10 +176,10 @@
   }
 
   #end (task, run, how) {
-    const entry = this.running.get(task)
-    if (entry?.run !== run) return
+    const entry = this.running.get(`${task} ${run}`)
+    if (!entry) return
     clearTimeout(entry.timer)
-    this.running.delete(task)
+    this.running.delete(`${task} ${run}`)
     this.#lastEnd += 1
     this.ended.push({ number: this.#lastEnd, task, run, how, record: this.journal.ended(this, entry, how, this.#lastEnd) })
     for (const wake of this.#wakers) wake()
