--- a/review/stand-ins/minion.mjs
+++ b/review/stand-ins/minion.mjs
@@ -31,6 +31,7 @@
   #sequence = 0
   #wakers = new Set()
   #healed = new Set()
+  #registered = new Set()
 
   /**
    * @param options `id`, `service`, `zone`, `rack`, `capacity` and `outcome`, which returns how long a run takes (`ms`) and how it ends (`how`).
@@ -39,7 +40,7 @@
    * @param holdMaxMs longest lease.
    */
   constructor (options, store, journal, holdMaxMs) {
-    this.options = options
+    this.options = { ...options }
     this.store = store
     this.journal = journal
     this.holdMaxMs = holdMaxMs
@@ -81,6 +82,16 @@
     this.#server.close()
   }
 
+  /** Changes what the minion says of itself; its next entry shows it. */
+  resize (capacity) {
+    this.options.capacity = capacity
+  }
+
+  /** Resolves right after the minion has written its entry. */
+  untilRegistered () {
+    return new Promise(resolve => { this.#registered.add(resolve) })
+  }
+
   cut () {
     this.isCut = true
   }
@@ -98,6 +109,8 @@
     this.store.put('keyed.servers', this.id, {
       service, address: this.address, zone, version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, seq: this.#sequence, born: this.born, capacity, labels: [label, rack]
     })
+    for (const resolve of this.#registered) resolve()
+    this.#registered.clear()
   }
 
   /** Waits until the link works; returns whether the connection is still there. */
