--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,13 +1,17 @@
 /**
- * An entry of another writer in the registry names the address of a minion: everything on that minion is started a second time elsewhere.
+ * A minion with more unseen ends than one response holds: tasks that are done are started again.
  */
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { runCase, sleep } from '../stand-ins/site.mjs'
 
-const TASK_CPU = 3_200
-const TASK_MS = 10_000
-const TASKS = 8
+const TASKS = 1_200
+const TASK_CPU = 50
+const TASK_MS = 3_000
+
+/** The cut begins before the first task can end, and ends before the lease of 5 s can run out. */
+const CUT_AFTER_MS = 2_500
+const CUT_MS = 3_500
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async site => {
   site.configure([{ name: 'balance-check', path_prefix: '/balance-check/' }])
@@ -16,23 +20,28 @@
   await site.startNodes()
   await sleep(3_000)
 
-  const job = { spec: 'lookups', steps: [{ count: TASKS, cpu: TASK_CPU, mem_mb: 1_000, estimate_ms: TASK_MS, anti_affinity: 4 }] }
-  const path = '/balance-check/00000000000000a3'
+  const job = { spec: 'many small lookups', steps: [{ count: TASKS, cpu: TASK_CPU, mem_mb: 100, estimate_ms: TASK_MS }] }
+  const path = '/balance-check/00000000000000a1'
   if (!await site.submit(path, job)) throw new Error('the job was not accepted')
-  await sleep(3_000)
-  if (site.journal.starts.length !== TASKS) throw new Error(`${site.journal.starts.length} tasks have begun`)
+  const deadline = Date.now() + 10_000
+  while (site.journal.starts.length === 0 && Date.now() < deadline) await sleep(10)
+  await sleep(CUT_AFTER_MS)
+  const [busiest] = [...site.minions].sort((left, right) => right.running.size - left.running.size)
+  site.record(`minion ${busiest.id} runs ${busiest.running.size} tasks`)
+  if (busiest.running.size <= 500) throw new Error(`the busiest minion runs only ${busiest.running.size} tasks`)
   if (site.hasTrouble) {
-    const minion = site.minions.find(({ running }) => running.size > 0)
-    // A service that the configuration doesn't name; `version`, `slots`, `cold_remaining_ms` and `seq` are missing.
-    const entry = { service: 'old-inventory', address: minion.address, zone: minion.options.zone, state: 'ready', born: Date.now(), capacity: minion.options.capacity, labels: ['a', minion.options.rack] }
-    site.store.put('keyed.servers', 'inventory-7', entry)
-    site.record(`another writer writes servers/inventory-7: ${JSON.stringify(entry)}; the address is that of ${minion.id}, which runs ${minion.running.size} tasks`)
+    site.record(`minion ${busiest.id} is cut off for ${CUT_MS} ms and runs on`)
+    busiest.cut()
+    await sleep(CUT_MS)
+    busiest.heal()
+    site.record(`minion ${busiest.id} can be reached again`)
   }
-  const end = Date.now() + 2 * TASK_MS + 5_000
+  const end = Date.now() + 25_000
   while (Date.now() < end) {
     await sleep(1_000)
     const { body } = await site.call(site.nodes[0], 'GET', path)
-    if (body.state === 'completed' || body.state === 'failed') break
+    if (body.state === 'completed') break
   }
+  await sleep(2_000)
   return site.journal.twice()
 })
