--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -17,6 +17,9 @@
 const READY_TIMEOUT_MS = 20_000
 const POLL_MS = 50
 const GRACE_MS = 6_000
+
+/** A case ends within 120 s, the end of its processes included. */
+const LIMIT_MS = 110_000
 const BROKEN = 1
 const COULD_NOT_RUN = 2
 
@@ -50,6 +53,7 @@
   #network = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`
   #agents = new Map()
   #version = 0
+  #isClosed = false
 
   /** @param folder folder of the case, for its record. */
   constructor (folder) {
@@ -96,6 +100,7 @@
 
   /** Starts a process with the command of the deploy file. */
   startNode (node) {
+    if (this.#isClosed) return
     const settingsPath = join(this.#folder, `${node.name}.toml`)
     writeFileSync(settingsPath, this.#settings(node))
     const command = /^run = "(.*)"$/m.exec(readFileSync(join(REPOSITORY, 'deploy/system.toml'), 'utf8'))[1].replace('/etc/samphireglade/local.conf', settingsPath)
@@ -166,6 +171,7 @@
 
   /** Ends everything that this case has started. */
   async close () {
+    this.#isClosed = true
     for (const agent of this.#agents.values()) agent.destroy()
     for (const { child } of this.nodes) child?.kill('SIGCONT')
     for (const { child } of this.nodes) child?.kill('SIGKILL')
@@ -247,7 +253,8 @@
   const site = new Site(folder)
   let code = 0
   try {
-    const findings = await play(site)
+    const overdue = sleep(LIMIT_MS).then(() => { throw new Error(`not over after ${LIMIT_MS} ms`) })
+    const findings = await Promise.race([play(site), overdue])
     for (const finding of findings.slice(0, 10)) site.record(`BROKEN: ${finding}`)
     if (findings.length > 0) code = BROKEN
     site.record(`${findings.length} findings`)
