Hold only the tasks of due occurrences, and limit the backlog of all jobs

Cause: an owner created objects for every task of every occurrence when it read a job, here 691,200, and limits existed for each job alone. Ruled out: the submissions themselves, which every process holds; only owners ended. A working set bounds what an owner holds, whatever is stored. Jobs beyond limits.maximumBacklogTasks get 429 at once, and each team keeps the room of its share; one that could never fit gets 413. Job views keep only the number of a done occurrence. A progress record with another number of rows than its step has tasks, which counted as done when it was empty, is ignored and logged.

--- a/src/capacity/pool-state-collector.ts
+++ b/src/capacity/pool-state-collector.ts
@@ -52,7 +52,7 @@
       if (pool === undefined) continue
       const demand = demands.get(pool) ?? new PoolDemand()
       demands.set(pool, demand)
-      for (const step of job.steps) if (!step.isDone && step.dueAt <= now && step.isUnblocked) this._addStep(demand, step)
+      for (const step of job.steps) if (step.isOpen && !step.isDone && step.dueAt <= now && step.isUnblocked) this._addStep(demand, step)
       if (!job.isLasting && job.view.submission.occurrences === 1) demand.addArrival(this._estimatedWork(job), now - job.submittedAt)
     }
     return demands
--- a/src/feeds/feed-follower-task.ts
+++ b/src/feeds/feed-follower-task.ts
@@ -117,11 +117,16 @@
     try {
       this.apply(change)
     } catch (error) {
-      this.metrics.count('feeds.skipped', 1, this.name)
-      this.log.emit('record skipped', { feed: this.name, offset: change.offset, cause: (error as Error).message })
+      this.recordSkipped(change.offset, (error as Error).message)
     }
   }
 
+  /** Logs and counts a record that isn't applied. */
+  protected recordSkipped (offset: number, cause: string): void {
+    this.metrics.count('feeds.skipped', 1, this.name)
+    this.log.emit('record skipped', { feed: this.name, offset, cause })
+  }
+
   /** Replaces the state with the newest record of each key, through `applyOrSkip`. */
   protected abstract reload (changes: ReadonlyArray<FeedChange<T>>): void
 
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from '../observability/metrics.js'
 import type { Clock } from '../supervision/clock.js'
 import { NEVER_ABORTED } from '../supervision/never-aborted.js'
+import type { BacklogAdmission } from './backlog-admission.js'
 import type { FleetTime } from './fleet-time.js'
 import type { JobResponse } from './job-response.js'
 import type { JobRequest } from './job-request.js'
@@ -24,6 +25,9 @@
 /** Delay after which a caller should retry a request that was refused because the store or the view is unavailable, in milliseconds. */
 const RETRY_AFTER_MILLISECONDS = 1_000
 
+/** The same for a job that was refused because the backlog is full, in milliseconds. */
+const RETRY_AFTER_OVERLOAD_MILLISECONDS = 2_000
+
 /** Margin for sending the response to the caller, in milliseconds. */
 const RESPONSE_MARGIN_MILLISECONDS = 100
 
@@ -34,7 +38,7 @@
 export class JobService {
   constructor (
     private readonly _configuration: ConfigurationFollowerTask, private readonly _submissionJournal: JobJournal, private readonly _submissions: JournalFollowerTask, private readonly _decisions: JournalFollowerTask, private readonly _writer: SubmissionWriterTask,
-    private readonly _fleetTime: FleetTime, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
+    private readonly _admission: BacklogAdmission, private readonly _fleetTime: FleetTime, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {}
 
   /** Accepts a job; responds when the journal has the submission. */
@@ -48,8 +52,10 @@
     const startAt = job.startAt === 0 ? 0 : this._fleetTime.fromTimeOfDay(job.startAt)
     const submission = { ...job, id, queue: queue.name, team, startAt, submittedAt: this._fleetTime.fromLocal(receivedAt) }
     const record = { kind: 'submission', submission } as const
-    if (this._submissionJournal.sizeOf(record) > this._submissionJournal.sizeLimits.record) return this._respond('submit', id, { kind: 'too-large' })
+    if (this._submissionJournal.sizeOf(record) > this._submissionJournal.sizeLimits.record || this._admission.isTooLarge(job)) return this._respond('submit', id, { kind: 'too-large' })
+    if (!this._admission.reserve(id, team, job)) return this._respond('submit', id, { kind: 'overloaded', retryAt: receivedAt + RETRY_AFTER_OVERLOAD_MILLISECONDS })
     const result = await this._writer.write(record, request.deadline - RESPONSE_MARGIN_MILLISECONDS)
+    if (result === 'not-written') this._admission.release(id)
     this._metrics.timing('jobs.submit.milliseconds', this._clock.now() - receivedAt)
     return this._respond('submit', id, this._writeResponse(result, { kind: 'accepted' }))
   }
@@ -144,7 +150,7 @@
 
   private _respond (operation: string, job: string, response: JobResponse): JobResponse {
     this._metrics.count('jobs.calls', 1, `${operation}:${response.kind}`)
-    this._log.emit('job call', { call: operation, job, outcome: response.kind, configuration: this._configuration.version, viewAt: Math.round(this._configuration.freshAt), submissions: this._submissions.nextOffset, decisions: this._decisions.nextOffset })
+    this._log.emit('job call', { call: operation, job, outcome: response.kind, configuration: this._configuration.version, viewAt: Math.round(this._configuration.freshAt), submissions: this._submissions.nextOffset, decisions: this._decisions.nextOffset, backlog: this._jobTable.backlog.total })
     return response
   }
 }
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -1,6 +1,7 @@
 /**
  * State of all jobs, built from the journal.
  */
+import { JobBacklog } from './job-backlog.js'
 import type { JobState } from './job-state.js'
 import type { JobObserver } from './job-observer.js'
 import { JobView } from './job-view.js'
@@ -26,13 +27,15 @@
 export class JobTable {
   /** Notified of new jobs and cancellations while this process owns the journal; null otherwise. */
   observer: JobObserver | null = null
+  /** Size of the jobs in `jobs`, by team. */
+  readonly backlog = new JobBacklog()
   private readonly _jobs = new Map<string, JobView>()
   private readonly _outcomes = new Map<string, JobState>()
   /** IDs of the jobs of which nothing has started, by queue. */
   private readonly _pending = new Map<string, Set<string>>()
   private readonly _earlyCancellations = new Set<string>()
   /** Decisions on jobs whose submission hasn't been read yet, by job: the two are in topics without a common order. */
-  private readonly _earlyDecisions = new Map<string, Array<() => void>>()
+  private readonly _earlyDecisions = new Map<string, Array<(job: JobView) => boolean>>()
   private readonly _waves = new Map<number, WaveProgress>()
   private readonly _orders = new Map<string, { readonly term: number, readonly orderedAt: number }>()
   private _ownerRecordCount = 0
@@ -83,42 +86,51 @@
     return this._ownerRecordCount
   }
 
-  /** Applies one record. */
-  apply (record: JournalRecord, offset: number): void {
+  /**
+   * Applies one record.
+   *
+   * @returns false if a decision that could be applied with it doesn't fit its job, and has been ignored.
+   */
+  apply (record: JournalRecord, offset: number): boolean {
     if (record.kind !== 'submission' && record.kind !== 'cancellation' && record.kind !== 'disposal') this._ownerRecordCount += 1
     switch (record.kind) {
-      case 'submission': return this._applySubmission(record.submission)
-      case 'cancellation': return this._applyCancellation(record.job)
-      case 'disposal': return
       case 'verdict': return this._applyDecision(record.job, job => job.applyCancellation(offset))
       case 'progress': return this._applyDecision(record.job, job => job.applyProgress(record.occurrence, record.step, record.tasks, offset))
+      case 'submission': return this._applySubmission(record.submission)
+      case 'cancellation':
+        this._applyCancellation(record.job)
+        return true
+      case 'disposal': return true
       case 'outcome':
         this._remove(record.job)
         this._outcomes.set(record.job, record.state)
-        return
+        return true
       case 'retirement':
         this._outcomes.delete(record.job)
-        return
+        return true
       case 'term':
         if (record.term >= this._term.number) this._term = { number: record.term, holder: record.holder, isReleased: record.isReleased, renewedAt: record.at }
-        return
+        return true
       case 'wave':
         this._waves.set(record.progress.wave, record.progress)
-        return
+        return true
       case 'order':
         this._orders.set(record.virtualMachine, { term: record.term, orderedAt: record.at })
+        return true
     }
   }
 
-  private _applySubmission (submission: JobView['submission']): void {
-    if (this._jobs.has(submission.id) || this._outcomes.has(submission.id)) return
+  private _applySubmission (submission: JobView['submission']): boolean {
+    if (this._jobs.has(submission.id) || this._outcomes.has(submission.id)) return true
     const job = new JobView(submission)
     this._jobs.set(submission.id, job)
+    this.backlog.add(submission)
     if (this._earlyCancellations.delete(submission.id)) job.requestCancellation()
-    for (const applyDecision of this._earlyDecisions.get(submission.id) ?? []) applyDecision()
+    const areApplied = (this._earlyDecisions.get(submission.id) ?? []).map(applyDecision => applyDecision(job))
     this._earlyDecisions.delete(submission.id)
     this._updatePending(job)
     this.observer?.jobSubmitted(job)
+    return !areApplied.includes(false)
   }
 
   /** Applies a cancellation, which may precede its submission if different processes wrote the two. */
@@ -134,16 +146,17 @@
     this.observer?.jobCancellationRequested(job)
   }
 
-  /** Applies a decision now, or once the submission has been read. */
-  private _applyDecision (id: string, decision: (job: JobView) => void): void {
-    if (this._outcomes.has(id)) return
+  /** Applies a decision now, or once the submission has been read. Returns false if it doesn't fit the job. */
+  private _applyDecision (id: string, decision: (job: JobView) => boolean): boolean {
+    if (this._outcomes.has(id)) return true
     const job = this._jobs.get(id)
     if (!job) {
-      this._earlyDecisions.set(id, [...this._earlyDecisions.get(id) ?? [], () => this._applyDecision(id, decision)])
-      return
+      this._earlyDecisions.set(id, [...this._earlyDecisions.get(id) ?? [], decision])
+      return true
     }
-    decision(job)
+    const isApplied = decision(job)
     this._updatePending(job)
+    return isApplied
   }
 
   private _remove (id: string): void {
@@ -152,6 +165,7 @@
     const job = this._jobs.get(id)
     if (!job) return
     this._pending.get(job.submission.queue)?.delete(id)
+    this.backlog.remove(job.submission)
     this._jobs.delete(id)
   }
 
--- a/src/jobs/job-view.ts
+++ b/src/jobs/job-view.ts
@@ -5,19 +5,26 @@
 import type { JobSubmission } from './job-submission.js'
 import type { TaskProgress } from './task-progress.js'
 
-/** Progress of one step of one occurrence. */
+/** Progress of one step of an occurrence that isn't done. */
 interface StepView {
   /** Offset of the record with this progress. */
   readonly offset: number
-  readonly tasks: readonly TaskProgress[]
-  readonly isDone: boolean
-  readonly hasFailed: boolean
-  readonly hasStarted: boolean
+  /** Null once all tasks are done. */
+  readonly tasks: readonly TaskProgress[] | null
 }
 
 /** Applies the records of one job. A record may be read more than once; an older one never replaces a newer one. */
 export class JobView {
-  private readonly _steps = new Map<string, StepView>()
+  /** Steps with progress, by occurrence and index, of the occurrences that aren't done. */
+  private readonly _steps = new Map<number, Map<number, StepView>>()
+  /** Occurrences of which all steps are done; nothing else is kept of them. */
+  private readonly _doneOccurrences = new Set<number>()
+  /** Offset of the newest record of a done occurrence. */
+  private _doneOffset = 0
+  /** Number of occurrences up to the last one with progress. */
+  private _recordedOccurrences = 0
+  private _hasFailed = false
+  private _hasStarted = false
   /** Offset of the owner's cancellation decision; Infinity if there is none. */
   private _cancellationOffset = Infinity
   private _isCancellationRequested = false
@@ -31,21 +38,50 @@
 
   /** Whether the owner decided on the cancellation before the job was completed. */
   get isCancelled (): boolean {
-    return this._cancellationOffset < this._completionOffset()
+    return this._cancellationOffset < this._completionOffset
+  }
+
+  /** Whether a task has failed permanently. */
+  get hasFailed (): boolean {
+    return this._hasFailed
   }
 
   /** State as reported to callers. */
   get state (): JobState {
     if (this.isCancelled) return 'cancelled'
-    const steps = [...this._steps.values()]
-    if (steps.some(({ hasFailed }) => hasFailed)) return 'failed'
-    if (this._completionOffset() < Infinity) return 'completed'
-    return steps.some(({ hasStarted }) => hasStarted) ? 'running' : 'queued'
+    if (this._hasFailed) return 'failed'
+    if (this._completionOffset < Infinity) return 'completed'
+    return this._hasStarted ? 'running' : 'queued'
+  }
+
+  /** Number of occurrences of which all steps are done. */
+  get doneOccurrences (): number {
+    return this._doneOccurrences.size
+  }
+
+  /** Occurrences with progress that aren't done. */
+  get startedOccurrences (): IterableIterator<number> {
+    return this._steps.keys()
+  }
+
+  /** Number of occurrences up to the last one with progress; the journal has no progress of later ones. */
+  get recordedOccurrences (): number {
+    return this._recordedOccurrences
   }
 
-  /** Returns the newest progress of a step's tasks, or null if nothing is recorded of it. */
+  /** Whether all steps of an occurrence are done. */
+  isOccurrenceDone (occurrence: number): boolean {
+    return this._doneOccurrences.has(occurrence)
+  }
+
+  /** Whether all tasks of a step are done. */
+  isStepDone (occurrence: number, step: number): boolean {
+    return this._doneOccurrences.has(occurrence) || this._steps.get(occurrence)?.get(step)?.tasks === null
+  }
+
+  /** Returns the newest progress of a step's tasks, or null if nothing is recorded of it or the step is done. */
   taskProgress (occurrence: number, step: number): readonly TaskProgress[] | null {
-    return this._steps.get(`${occurrence}.${step}`)?.tasks ?? null
+    return this._steps.get(occurrence)?.get(step)?.tasks ?? null
   }
 
   /** Records that a cancellation was requested; the owner decides on it. */
@@ -53,33 +89,43 @@
     this._isCancellationRequested = true
   }
 
-  /** Applies the owner's cancellation decision; a job that was completed before it stays completed. */
-  applyCancellation (offset: number): void {
+  /** Applies the owner's cancellation decision; a job that was completed before it stays completed. Returns true: the decision fits every job. */
+  applyCancellation (offset: number): boolean {
     this._cancellationOffset = Math.min(this._cancellationOffset, offset)
+    return true
   }
 
-  /** Applies the progress of a step, unless a newer record of it has been applied. */
-  applyProgress (occurrence: number, step: number, tasks: readonly TaskProgress[], offset: number): void {
-    const key = `${occurrence}.${step}`
-    if ((this._steps.get(key)?.offset ?? -1) >= offset) return
-    this._steps.set(key, {
-      offset,
-      tasks,
-      isDone: tasks.every(({ phase }) => phase === 'done'),
-      hasFailed: tasks.some(({ phase }) => phase === 'failed'),
-      hasStarted: tasks.some(({ run }) => run > 0)
-    })
+  /**
+   * Applies the progress of a step, unless a newer record of it has been applied.
+   *
+   * @returns whether the record fits the job; one that has another number of tasks, or names no step of the job, isn't applied.
+   */
+  applyProgress (occurrence: number, step: number, tasks: readonly TaskProgress[], offset: number): boolean {
+    const { occurrences, steps } = this.submission
+    const definition = steps[step]
+    if (!definition || !Number.isInteger(occurrence) || occurrence < 0 || occurrence >= occurrences || tasks.length !== definition.count) return false
+    if (this._doneOccurrences.has(occurrence)) return true
+    const views = this._steps.get(occurrence) ?? new Map<number, StepView>()
+    if ((views.get(step)?.offset ?? -1) >= offset) return true
+    const isDone = tasks.every(({ phase }) => phase === 'done')
+    this._steps.set(occurrence, views.set(step, { offset, tasks: isDone ? null : tasks }))
+    this._recordedOccurrences = Math.max(this._recordedOccurrences, occurrence + 1)
+    this._hasFailed ||= tasks.some(({ phase }) => phase === 'failed')
+    this._hasStarted ||= tasks.some(({ run }) => run > 0)
+    if (isDone) this._closeIfDone(occurrence, views)
+    return true
   }
 
-  /** Returns the offset of the record that completed the job, or Infinity. */
-  private _completionOffset (): number {
-    const { occurrences, steps } = this.submission
-    if (this._steps.size < occurrences * steps.length) return Infinity
-    let offset = 0
-    for (const step of this._steps.values()) {
-      if (!step.isDone) return Infinity
-      offset = Math.max(offset, step.offset)
-    }
-    return offset
+  /** Offset of the record that completed the job, or Infinity. */
+  private get _completionOffset (): number {
+    return this._doneOccurrences.size < this.submission.occurrences ? Infinity : this._doneOffset
+  }
+
+  private _closeIfDone (occurrence: number, views: ReadonlyMap<number, StepView>): void {
+    if (views.size < this.submission.steps.length) return
+    for (const { tasks } of views.values()) if (tasks !== null) return
+    this._doneOffset = Math.max(this._doneOffset, ...[...views.values()].map(({ offset }) => offset))
+    this._doneOccurrences.add(occurrence)
+    this._steps.delete(occurrence)
   }
 }
--- a/src/jobs/journal-follower-task.ts
+++ b/src/jobs/journal-follower-task.ts
@@ -73,7 +73,7 @@
     // A record that is loaded may be old.
     if (value.kind === 'term' && !this._isReloading) this._fleetTime.observe(value.at, value.holder)
     this._fleetTime.compareWithTimeOfDay()
-    this.jobTable.apply(value, offset)
+    if (!this.jobTable.apply(value, offset)) this.recordSkipped(offset, 'a decision doesn\'t fit its job')
     if (this.jobTable.ownerRecordCount !== ownerRecordCount) this._ownerLastContactAt = this.clock.now()
   }
 
--- a/src/main/node-tree.ts
+++ b/src/main/node-tree.ts
@@ -2,6 +2,7 @@
  * Composition root of the node daemon.
  */
 import { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
+import { BacklogAdmission } from '../jobs/backlog-admission.js'
 import { FleetTime } from '../jobs/fleet-time.js'
 import { JobTable } from '../jobs/job-table.js'
 import { JobService } from '../jobs/job-service.js'
@@ -88,7 +89,8 @@
     this.decisions = new JournalFollowerTask('decisions', jobTable, this._fleetTime, this._decisionJournal, _clock, _random, _metrics, _log)
     this.submissions = new JournalFollowerTask('submissions', jobTable, this._fleetTime, this._submissionJournal, _clock, _random, _metrics, _log)
     this._submissionWriter = new SubmissionWriterTask(this._submissionJournal, _clock, _random, _metrics)
-    this.service = new JobService(this.configuration, this._submissionJournal, this.submissions, this.decisions, this._submissionWriter, this._fleetTime, _clock, _metrics, _log)
+    const admission = new BacklogAdmission(jobTable, this.configuration, _settings.limits.maximumBacklogTasks, _clock)
+    this.service = new JobService(this.configuration, this._submissionJournal, this.submissions, this.decisions, this._submissionWriter, admission, this._fleetTime, _clock, _metrics, _log)
   }
 
   /** Whether the process can serve: it isn't stopping, has a configuration, and its view of the store is current. */
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -50,6 +50,7 @@
 import { RecentStartAttributionPolicy } from '../scheduling/recent-start-attribution-policy.js'
 import { WorkerLossHandler } from '../scheduling/worker-loss-handler.js'
 import { WorkerTable } from '../scheduling/worker-table.js'
+import { WorkingSet } from '../scheduling/working-set.js'
 import type { FleetTimings } from '../scheduling/fleet-timings.js'
 import type { NodeSettings } from '../settings/node-settings.js'
 import type { Clock } from '../supervision/clock.js'
@@ -91,7 +92,7 @@
 
   override create (term: number, claim: TermClaim, onLost: (cause: string) => void): Supervisor {
     const { _clock: clock, _random: random, _metrics: metrics, _log: log, _configuration: configuration, _decisions: { jobTable } } = this
-    const { bounds: timings } = this._settings()
+    const { bounds: timings, limits } = this._settings()
     const leaseDurations = {
       leaseMilliseconds: Math.min(LEASE_MILLISECONDS, timings.maximumLeaseMilliseconds * MAXIMUM_LEASE_FRACTION),
       renewalGracePeriodMilliseconds: RENEWAL_GRACE_PERIOD_MILLISECONDS
@@ -120,7 +121,7 @@
       workerFeed, clock, random, metrics, log
     )
     const placement = new PlacementTask(
-      schedule, scheduledJobs, workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, pace,
+      schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
     const takeover = new TakeoverTask(jobTable, workerRegistry, schedule, placement, clock)
--- a/src/platform/job-request-task.ts
+++ b/src/platform/job-request-task.ts
@@ -97,6 +97,7 @@
       case 'no-job': return { status: 410, body: { error: 'no such job' } }
       case 'unauthorized': return { status: 401, body: { error: 'unknown key' } }
       case 'unknown': return { status: 504, body: { error: 'the outcome is not known; ask again' } }
+      case 'overloaded': return { status: 429, body: { error: 'not run: too much work is waiting' }, retryAt: jobResponse.retryAt }
       case 'not-run': return { status: 503, body: { error: 'not run' }, retryAt: jobResponse.retryAt }
       case 'unsure': return { status: 503, body: { error: 'this process cannot tell at present' }, retryAt: jobResponse.retryAt }
     }
--- a/src/scheduling/outcome-retention-task.ts
+++ b/src/scheduling/outcome-retention-task.ts
@@ -42,9 +42,9 @@
 
   private _writeOutcomes (): void {
     for (const { id, view } of this._scheduledJobs.removeFinished()) {
-      const { state, submission: { queue, occurrences, steps } } = view
+      const { state, recordedOccurrences, submission: { queue, steps } } = view
       if (state === 'queued' || state === 'running') continue
-      this._writer.append({ kind: 'outcome', job: id, queue, state, occurrences, steps: steps.length }, () => {
+      this._writer.append({ kind: 'outcome', job: id, queue, state, occurrences: recordedOccurrences, steps: steps.length }, () => {
         // If this fails, the submission is removed when the outcome expires.
         void this._removeSubmission(id)
       })
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -20,6 +20,7 @@
 import type { ResourceReservations } from './resource-reservations.js'
 import { RunIsolation } from './run-isolation.js'
 import type { WorkerLossHandler } from './worker-loss-handler.js'
+import type { WorkingSet } from './working-set.js'
 import type { WorkerTable } from './worker-table.js'
 
 /** Bounds how late a round notices expired leases and due steps, which cause no notification. */
@@ -45,7 +46,7 @@
 
   /** @param _viewFreshAt returns the epoch milliseconds as of which the journal and the configuration are known. */
   constructor (
-    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _losses: WorkerLossHandler, private readonly _pace: OwnerPace,
+    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workingSet: WorkingSet, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _losses: WorkerLossHandler, private readonly _pace: OwnerPace,
     private readonly _viewFreshAt: () => number, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -71,6 +72,7 @@
   }
 
   private _runRound (now: number): void {
+    this._workingSet.update(now)
     const startableSteps = this._startableSteps(now)
     if (startableSteps.length === 0) return
     const round = { now, workersByPool: this._eligibleWorkersByPool(now), unplaceableByPool: new Map<string, Resources[]>(), isolation: new RunIsolation(now) }
@@ -123,7 +125,7 @@
     const steps: ScheduledStep[] = []
     for (const job of this._jobs.active) {
       for (const step of job.steps) {
-        if (step.dueAt <= now && step.tasks.some(({ phase }) => phase === 'waiting') && step.isUnblocked) steps.push(step)
+        if (step.isOpen && step.dueAt <= now && step.tasks.some(({ phase }) => phase === 'waiting') && step.isUnblocked) steps.push(step)
       }
     }
     return steps
--- a/src/scheduling/scheduled-job-table.ts
+++ b/src/scheduling/scheduled-job-table.ts
@@ -15,12 +15,17 @@
     return this._active
   }
 
+  /** All jobs. */
+  get all (): IterableIterator<ScheduledJob> {
+    return this._jobs.values()
+  }
+
   /** Returns a job by its ID, or null. */
   job (id: string): ScheduledJob | null {
     return this._jobs.get(id) ?? null
   }
 
-  /** Returns a task by its name, or null. */
+  /** Returns a task by its name, or null if there is none or its step isn't open. */
   findTask (name: string): ScheduledTask | null {
     const [job = '', occurrence, step, index] = name.split('.')
     return this._jobs.get(job)?.step(Number(occurrence), Number(step))?.tasks[Number(index)] ?? null
--- a/src/scheduling/scheduled-job.ts
+++ b/src/scheduling/scheduled-job.ts
@@ -4,13 +4,21 @@
 import type { FleetTime } from '../jobs/fleet-time.js'
 import type { JobView } from '../jobs/job-view.js'
 import type { JobQueue } from '../configuration/job-queue.js'
-import { ScheduledStep } from './scheduled-step.js'
+import { ScheduledOccurrence } from './scheduled-occurrence.js'
+import type { ScheduledStep } from './scheduled-step.js'
 
-/** A job that the owner schedules, with all steps of all occurrences. */
+/** A job that the owner schedules. It holds only occurrences that have begun and haven't been closed. */
 export class ScheduledJob {
-  readonly steps: readonly ScheduledStep[]
+  /** Occurrences that have been opened and not closed. */
+  private readonly _occurrences = new Map<number, ScheduledOccurrence>()
+  /** Number of occurrences that are done and closed. */
+  private _closedOccurrences: number
+  /** First occurrence that may not have been opened yet. */
+  private _nextOccurrence = 0
   /** Estimated duration of the longest chain of dependent steps that begins with each step of an occurrence, in milliseconds. */
   private readonly _pathMilliseconds: readonly number[]
+  /** The longest of these chains. */
+  private readonly _criticalPathMilliseconds: number
   /** Estimated work of the steps after each step of an occurrence, in millicores times milliseconds. */
   private readonly _workAfter: readonly number[]
   /** Whether a cancellation was applied before the job had finished. */
@@ -23,15 +31,17 @@
 
   /** @param view state of the job in the journal, from which the schedule starts. */
   constructor (readonly view: JobView, fleetTime: FleetTime) {
-    const { occurrences, steps, submittedAt, startAt } = view.submission
+    const { submittedAt, startAt } = view.submission
     this.submittedAt = fleetTime.toLocal(submittedAt)
     this.startAt = startAt === 0 ? 0 : fleetTime.toLocal(startAt)
-    this.steps = Array.from({ length: occurrences }, (_, occurrence) =>
-      steps.map((definition, index) => new ScheduledStep(this, occurrence, index, definition))).flat()
+    this._closedOccurrences = view.doneOccurrences
+    for (const occurrence of view.startedOccurrences) this._occurrences.set(occurrence, new ScheduledOccurrence(this, occurrence))
+    this._skipKnownOccurrences()
     this._pathMilliseconds = this._longestPaths()
+    this._criticalPathMilliseconds = this._pathMilliseconds.reduce((longest, path) => Math.max(longest, path), 0)
     this._workAfter = this._laterWork()
     this.isCancelled = view.isCancelled
-    this.hasFailed = this.steps.some(step => step.tasks.some(({ phase }) => phase === 'failed'))
+    this.hasFailed = view.hasFailed
   }
 
   /** ID that the submitter chose. */
@@ -41,17 +51,60 @@
 
   /** Whether no more tasks of the job are to start; tasks of a failed or cancelled job may still be running. */
   get isFinished (): boolean {
-    return this.isCancelled || this.hasFailed || this.steps.every(({ isDone }) => isDone)
+    return this.isCancelled || this.hasFailed || this._closedOccurrences + this._doneOccurrences === this.view.submission.occurrences
   }
 
   /** Whether the job runs until it is cancelled. */
   get isLasting (): boolean {
-    return this.steps.some(({ definition }) => definition.isLasting)
+    return this.view.submission.steps.some(({ isLasting }) => isLasting)
   }
 
-  /** Returns a step of an occurrence, or null. */
+  /** Number of steps and tasks that the job holds in memory. */
+  get size (): number {
+    return [...this._occurrences.values()].reduce((sum, { size }) => sum + size, 0)
+  }
+
+  /** Steps of the occurrences that have been opened and not closed. */
+  get steps (): ScheduledStep[] {
+    return [...this._occurrences.values()].flatMap(({ steps }) => steps)
+  }
+
+  /** Whether the job holds any occurrence. */
+  get hasOpenOccurrence (): boolean {
+    return this._occurrences.size > 0
+  }
+
+  /** Epoch milliseconds at which the next occurrence that hasn't been opened is due; Infinity if there is none. */
+  get nextDueAt (): number {
+    return this._nextOccurrence < this.view.submission.occurrences ? this.dueAt(this._nextOccurrence) : Infinity
+  }
+
+  /** Returns the epoch milliseconds from which an occurrence may start; 0 for at once. */
+  dueAt (occurrence: number): number {
+    return this.startAt === 0 ? 0 : this.startAt + occurrence * this.view.submission.intervalMilliseconds
+  }
+
+  /** Returns a step of an occurrence that has been opened and not closed, or null. */
   step (occurrence: number, index: number): ScheduledStep | null {
-    return this.steps[occurrence * this.view.submission.steps.length + index] ?? null
+    return this._occurrences.get(occurrence)?.steps[index] ?? null
+  }
+
+  /** Opens the next occurrence. */
+  openNextOccurrence (): ScheduledOccurrence {
+    const occurrence = new ScheduledOccurrence(this, this._nextOccurrence)
+    this._occurrences.set(this._nextOccurrence, occurrence)
+    this._skipKnownOccurrences()
+    return occurrence
+  }
+
+  /** Releases the tasks of steps, and the occurrences, that the journal shows as done. */
+  closeDone (): void {
+    for (const occurrence of this._occurrences.values()) {
+      for (const step of occurrence.steps) step.closeIfDone()
+      if (!occurrence.isClosed) continue
+      this._occurrences.delete(occurrence.index)
+      this._closedOccurrences += 1
+    }
   }
 
   /** Returns the estimated duration of the longest chain of dependent steps that begins with the given step, in milliseconds. */
@@ -66,22 +119,33 @@
 
   /** Returns the epoch milliseconds by which an occurrence has to complete to meet the queue's latency target. */
   targetCompletionAt (occurrence: number, queue: JobQueue): number {
-    const dueAt = this.step(occurrence, 0)?.dueAt ?? 0
-    return Math.max(this.submittedAt, dueAt) + queue.stretch * Math.max(0, ...this._pathMilliseconds) + queue.targetLatencyMilliseconds
+    return Math.max(this.submittedAt, this.dueAt(occurrence)) + queue.stretch * this._criticalPathMilliseconds + queue.targetLatencyMilliseconds
+  }
+
+  private get _doneOccurrences (): number {
+    return [...this._occurrences.values()].filter(({ isDone }) => isDone).length
+  }
+
+  private _skipKnownOccurrences (): void {
+    while (this._occurrences.has(this._nextOccurrence) || this.view.isOccurrenceDone(this._nextOccurrence)) this._nextOccurrence += 1
   }
 
   private _laterWork (): number[] {
-    const { steps } = this.view.submission
-    const work = steps.map(({ count, demand, estimateMilliseconds }) => count * demand.millicores * estimateMilliseconds)
-    return work.map((_, index) => work.slice(index + 1).reduce((sum, stepWork) => sum + stepWork, 0))
+    let work = 0
+    return this.view.submission.steps.toReversed().map(({ count, demand, estimateMilliseconds }) => {
+      const later = work
+      work += count * demand.millicores * estimateMilliseconds
+      return later
+    }).reverse()
   }
 
   private _longestPaths (): number[] {
     const { steps } = this.view.submission
     const paths = new Array<number>(steps.length).fill(0)
-    for (let index = steps.length - 1; index >= 0; index--) {
-      const successors = steps.flatMap(({ after }, laterIndex) => after.includes(index) ? [paths[laterIndex] ?? 0] : [])
-      paths[index] = (steps[index]?.estimateMilliseconds ?? 0) + Math.max(0, ...successors)
+    for (const [index, { estimateMilliseconds, after }] of [...steps.entries()].reverse()) {
+      const path = (paths[index] ?? 0) + estimateMilliseconds
+      paths[index] = path
+      for (const earlier of after) if (earlier < index) paths[earlier] = Math.max(paths[earlier] ?? 0, path)
     }
     return paths
   }
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -13,6 +13,9 @@
 /** Order rate assumed if the platform doesn't state one. */
 const DEFAULT_ORDERS_PER_SECOND = 64
 
+/** Maximum size of the backlog for processes with 160 MB of heap, in tasks: a task takes about 1 KB in the owner (docs/PLATFORM.md). */
+const DEFAULT_MAXIMUM_BACKLOG_TASKS = 60_000
+
 /** The settings file of a node daemon, which the platform generates from `deploy/node-settings.toml`. */
 export const NodeSettings = z.object({
   process: z.object({
@@ -45,6 +48,10 @@
     linkMegabitsPerSecond: OptionalQuantity
   }).prefault({}),
   bounds: FleetTimings,
+  limits: z.object({
+    /** Size of the backlog, in tasks, from which on jobs are refused; the same in all processes. */
+    maximumBacklogTasks: z.number().int().min(1).default(DEFAULT_MAXIMUM_BACKLOG_TASKS)
+  }).prefault({}),
   traces: z.object({
     /** OTLP/HTTP collector; without it no spans are recorded. */
     endpoint: z.url({ protocol: /^https?$/ })
--- a/tests/crash-attribution.test.ts
+++ b/tests/crash-attribution.test.ts
@@ -24,7 +24,9 @@
 function createTasks (step: Partial<StepDefinition>): readonly ScheduledTask[] {
   jobCount += 1
   const view = new JobView({ id: `job${jobCount}`, queue: 'queue', team: 'team', specification: '', steps: [{ ...PLAIN_STEP, ...step }], occurrences: 1, startAt: 0, intervalMilliseconds: 0, submittedAt: 0 })
-  return new ScheduledJob(view, new FleetTime(new FakeClock(HEARD_AT), 'one')).steps[0]?.tasks ?? []
+  const [scheduledStep] = new ScheduledJob(view, new FleetTime(new FakeClock(HEARD_AT), 'one')).openNextOccurrence().steps
+  scheduledStep?.open()
+  return scheduledStep?.tasks ?? []
 }
 
 function createWorker (): FleetWorker {
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -26,6 +26,7 @@
 interface EmulatedNode {
   readonly tree: NodeTree
   readonly log: RecordingDecisionLog
+  readonly metrics: MemoryMetrics
   readonly stop: AbortController
   readonly clock: SuspendableClock
   readonly load: ScriptedLoad
@@ -40,6 +41,8 @@
   readonly nodes = new Map<string, EmulatedNode>()
   /** Duration (Infinity: doesn't complete by itself) and result of a task's runs, by task name; other runs are done after a second. */
   readonly outcomesByTask = new Map<string, { milliseconds: number, result: 'done' | 'failed' | 'crash' }>()
+  /** Limit on the backlog of the processes that are started next; null for the default. */
+  maximumBacklogTasks: number | null = null
   private _version = 0
 
   constructor (private readonly _seed: number) {
@@ -57,7 +60,7 @@
   }
 
   /** Publishes a configuration with one pool, a standby pool, one queue and one team. */
-  configure (overrides: { upperLimit?: number, advice?: boolean, routes?: object[], keys?: string[], maximumAttempts?: number, hasStandby?: boolean, rejectsOverload?: boolean } = {}): void {
+  configure (overrides: { upperLimit?: number, advice?: boolean, routes?: object[], teams?: object[], keys?: string[], maximumAttempts?: number, hasStandby?: boolean, rejectsOverload?: boolean } = {}): void {
     this._version += 1
     const route = {
       name: 'queue',
@@ -74,7 +77,7 @@
       version: this._version,
       routes: [route, ...overrides.routes ?? []],
       services: [{ name: 'work', rejects_overload: overrides.rejectsOverload ?? true }, ...overrides.hasStandby === false ? [] : [{ name: 'standby', standby: true }]],
-      tenants: [{ name: 'team', api_keys: overrides.keys ?? [KEY], weight: 10, max_count: { cpu: overrides.upperLimit ?? 0, mem_mb: 0, gpus: 0 } }],
+      tenants: [{ name: 'team', api_keys: overrides.keys ?? [KEY], weight: 10, max_count: { cpu: overrides.upperLimit ?? 0, mem_mb: 0, gpus: 0 } }, ...overrides.teams ?? []],
       limits: { max_body_bytes: 262_144 }
     })
   }
@@ -91,16 +94,18 @@
       listen: { callers: '127.0.0.1:1', readiness: '127.0.0.1:2', metrics: '127.0.0.1:3' },
       platform: { store, machines, advice },
       machine: virtualMachine,
+      ...(this.maximumBacklogTasks === null ? {} : { limits: { maximumBacklogTasks: this.maximumBacklogTasks } }),
       bounds: {
         maximumLeaseMilliseconds: 6_000, statusRetentionMilliseconds: 120_000, holderChangeMilliseconds: 3_000, moveMilliseconds: 1_500, maintenanceMilliseconds: 2_000
       }
     })
     const log = new RecordingDecisionLog()
+    const metrics = new MemoryMetrics()
     const load = new ScriptedLoad()
     const clock = new SuspendableClock(this.clock, clockError)
-    const tree = new NodeTree(settings, new EmulatorDialer(this.emulator, name, clock, () => clock.untilRunning()), clock, new SeededRandomSource(this._seed + this.nodes.size), new MemoryMetrics(), log, load)
+    const tree = new NodeTree(settings, new EmulatorDialer(this.emulator, name, clock, () => clock.untilRunning()), clock, new SeededRandomSource(this._seed + this.nodes.size), metrics, log, load)
     const stop = new AbortController()
-    const node = { tree, log, stop, clock, load, completion: tree.buildWithoutServers().run(stop.signal) }
+    const node = { tree, log, metrics, stop, clock, load, completion: tree.buildWithoutServers().run(stop.signal) }
     this.emulator.faults.killedCallers.delete(name)
     this.nodes.set(name, node)
     return node
@@ -123,9 +128,9 @@
   }
 
   /** Submits a job to a process. */
-  submit (node: string, id: string, steps: readonly Partial<StepDefinition>[], options: { occurrences?: number, startAt?: number, intervalMilliseconds?: number } = {}): Promise<JobResponse> {
+  submit (node: string, id: string, steps: readonly Partial<StepDefinition>[], options: { occurrences?: number, startAt?: number, intervalMilliseconds?: number } = {}, key = KEY): Promise<JobResponse> {
     const job = { specification: 'text', steps: steps.map(step => ({ ...PLAIN_STEP, ...step })), occurrences: 1, startAt: 0, intervalMilliseconds: 0, ...options }
-    return this._awaitResponse(this._service(node).submit(this._createRequest(node, id), id, job))
+    return this._awaitResponse(this._service(node).submit({ ...this._createRequest(node, id), key }, id, job))
   }
 
   /** Queries the state of a job at a process. */
