Bound each append of decisions by the store's limit

Cause: an append took up to 10,000 rows of steps and any number of other records. The outcomes of long schedules that end together have a deletion for each step of each occurrence, 0.7 MB each; three of them exceed the 2 MB that the store takes in one call. It refuses such an append for good, so that the owner's term ends, and each next owner decides the same again. Change: PendingDecisions hands out what fits into one append; callbacks run with the last one. The renewal of the term goes first, so that no amount of decisions delays it, and the release of the term is written after everything else. Measured: 20 outcomes of 1,000 occurrences with 20 steps are written in appends of at most 2 MB each; the class is new, so that the test has no run on the code before.

--- a/src/scheduling/decision-writer-task.ts
+++ b/src/scheduling/decision-writer-task.ts
@@ -14,11 +14,9 @@
 import { Notifier } from '../supervision/notifier.js'
 import type { RandomSource } from '../supervision/random-source.js'
 import { Task } from '../supervision/task.js'
+import { PendingDecisions } from './pending-decisions.js'
 import type { ScheduledStep } from './scheduled-step.js'
 
-/** Bounds the size of an append: the row of a task takes about a hundred bytes, and an append may have two megabytes. */
-const MAXIMUM_TASKS_PER_APPEND = 10_000
-
 /** Timeout of one attempt; a slow store responds within a few hundred milliseconds. */
 const APPEND_TIMEOUT_MILLISECONDS = 1_500
 
@@ -28,12 +26,6 @@
 /** A quarter of the time without records after which another process may claim the next term. */
 const TERM_RENEWAL_INTERVAL_MILLISECONDS = 300
 
-/** Records of one append, and the callbacks to run once they are durable. */
-interface Batch {
-  readonly records: readonly JournalRecord[]
-  readonly callbacks: ReadonlyArray<() => void>
-}
-
 /**
  * Runs one append at a time; changes made meanwhile go into the next one. A step that changed several
  * times since the last append is written once, in its current state. An append without a response is
@@ -43,9 +35,7 @@
   override readonly name = 'decision-writer'
   private readonly _wake = new Notifier()
   private readonly _backoff: Backoff
-  private readonly _pendingSteps = new Set<ScheduledStep>()
-  private _pendingRecords: JournalRecord[] = []
-  private _pendingCallbacks: Array<() => void> = []
+  private readonly _pending: PendingDecisions
   private _sequence = 1
   private _renewedAt: number
   private _confirmedAt: number
@@ -63,6 +53,7 @@
     private readonly _clock: Clock, random: RandomSource, private readonly _metrics: Metrics
   ) {
     super()
+    this._pending = new PendingDecisions(_journal)
     this._renewedAt = _clock.now()
     this._confirmedAt = claimedAt
     this._confirmedAtTimeOfDay = _clock.timeOfDay() - (this._renewedAt - claimedAt)
@@ -79,20 +70,20 @@
 
   /** Whether an append is in progress, or records or callbacks wait for one. */
   get hasPendingWrites (): boolean {
-    return this._isWriting || this._pendingCallbacks.length > 0 || this._pendingSteps.size > 0 || this._pendingRecords.length > 0
+    return this._isWriting || !this._pending.isEmpty
   }
 
   /** Writes the step's state as of the next append, then calls `onWritten`. */
   writeStep (step: ScheduledStep, onWritten?: () => void): void {
-    this._pendingSteps.add(step)
-    if (onWritten) this._pendingCallbacks.push(onWritten)
+    this._pending.addStep(step)
+    if (onWritten) this._pending.addCallback(onWritten)
     this._wake.notify()
   }
 
   /** Writes a record, then calls `onWritten`. */
   append (record: JournalRecord, onWritten?: () => void): void {
-    this._pendingRecords.push(record)
-    if (onWritten) this._pendingCallbacks.push(onWritten)
+    this._pending.addRecord(record)
+    if (onWritten) this._pending.addCallback(onWritten)
     this._wake.notify()
   }
 
@@ -103,7 +94,7 @@
       onWritten()
       return
     }
-    this._pendingCallbacks.push(onWritten)
+    this._pending.addCallback(onWritten)
     this._wake.notify()
   }
 
@@ -111,17 +102,13 @@
   override async run (signal: AbortSignal): Promise<void> {
     let isReleased = false
     while (!signal.aborted || !isReleased) {
-      if (signal.aborted) {
-        // The last record of the term; it lets another process claim the next term at once.
-        this._pendingRecords.push({ kind: 'term', term: this._term, holder: this._holder, isReleased: true, at: this._fleetTime.now() })
-        isReleased = true
-      } else if (this._clock.now() >= this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS) {
-        this._renewedAt = this._clock.now()
-        this._pendingRecords.push({ kind: 'term', term: this._term, holder: this._holder, isReleased: false, at: this._fleetTime.fromLocal(this._renewedAt) })
-      }
-      const batch = this._nextBatch()
+      const batch = this._pending.take(this._renewal())
+      // The last record of the term; it lets another process claim the next term at once.
+      const release: JournalRecord = { kind: 'term', term: this._term, holder: this._holder, isReleased: true, at: this._fleetTime.now() }
+      isReleased = signal.aborted && batch.isLast
+      const records = isReleased ? [...batch.records, release] : batch.records
       this._isWriting = true
-      if (batch.records.length > 0 && !await this._appendToJournal(batch.records, signal)) {
+      if (records.length > 0 && !await this._appendToJournal(records, signal)) {
         // Nothing more of this term may become durable, so no further callback may run. The supervisor would restart
         // a task that returns, and the restarted task would go on with the next batch.
         await aborted(signal)
@@ -129,34 +116,15 @@
       }
       this._isWriting = false
       for (const callback of batch.callbacks) callback()
-      if (batch.records.length === 0 && batch.callbacks.length === 0) await this._wake.wait(this._clock, this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS, signal)
+      if (records.length === 0 && batch.callbacks.length === 0) await this._wake.wait(this._clock, this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS, signal)
     }
   }
 
-  private _nextBatch (): Batch {
-    const steps = this._nextSteps()
-    // A callback may depend on any of the steps, so callbacks go with the batch that has the last of them.
-    const isLast = steps.length === this._pendingSteps.size
-    for (const step of steps) this._pendingSteps.delete(step)
-    const records = [...steps.map((step): JournalRecord => ({
-      kind: 'progress', job: step.job.id, occurrence: step.occurrence, step: step.index, tasks: step.tasks.map(({ progress }) => progress)
-    })), ...this._pendingRecords]
-    this._pendingRecords = []
-    const callbacks = isLast ? this._pendingCallbacks : []
-    if (isLast) this._pendingCallbacks = []
-    return { records, callbacks }
-  }
-
-  /** Returns pending steps that fit into one append: at least one, if there is one. */
-  private _nextSteps (): ScheduledStep[] {
-    const steps: ScheduledStep[] = []
-    let tasks = 0
-    for (const step of this._pendingSteps) {
-      tasks += step.tasks.length
-      if (steps.length > 0 && tasks > MAXIMUM_TASKS_PER_APPEND) break
-      steps.push(step)
-    }
-    return steps
+  /** Returns the record that renews the term if it is due, or null. It goes first, so that no amount of decisions delays it. */
+  private _renewal (): JournalRecord | null {
+    if (this._clock.now() < this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS) return null
+    this._renewedAt = this._clock.now()
+    return { kind: 'term', term: this._term, holder: this._holder, isReleased: false, at: this._fleetTime.fromLocal(this._renewedAt) }
   }
 
   private async _appendToJournal (records: readonly JournalRecord[], signal: AbortSignal): Promise<boolean> {
--- a/tests/decision-writer-task.test.ts
+++ b/tests/decision-writer-task.test.ts
@@ -7,9 +7,12 @@
 import { FleetTime } from '../src/jobs/fleet-time.js'
 import { JobTable } from '../src/jobs/job-table.js'
 import { JobJournal } from '../src/jobs/job-journal.js'
+import type { JournalRecord } from '../src/jobs/journal-record.js'
 import { DecisionLogSupervisorObserver } from '../src/observability/decision-log-supervisor-observer.js'
 import { MemoryMetrics } from '../src/observability/memory-metrics.js'
+import { JournalCodec } from '../src/platform/journal-codec.js'
 import { DecisionWriterTask } from '../src/scheduling/decision-writer-task.js'
+import { PendingDecisions } from '../src/scheduling/pending-decisions.js'
 import { SeededRandomSource } from '../src/supervision/seeded-random-source.js'
 import { Supervisor } from '../src/supervision/supervisor.js'
 import { FakeClock } from './support/fake-clock.js'
@@ -80,3 +83,20 @@
   expect(journal.sequences.slice(0, 3)).toEqual([1, 1, 1])
   expect(completedCallbacks).toEqual(['order', 'acknowledgement'])
 })
+
+// Guards against an append that the store refuses as too large, which ends each owner's term.
+test('outcomes of long schedules that are due together are written in appends that the store takes', () => {
+  const sizeLimits = { record: 262_144, append: 2_097_152 }
+  const sizeOf = (record: JournalRecord): number => JournalCodec.encode(record).reduce((size, { key, value }) => size + key.length + value.length + 5, 0)
+  const pending = new PendingDecisions({ sizeLimits, sizeOf })
+  const written: string[] = []
+  for (let index = 0; index < 20; index++) pending.addRecord({ kind: 'outcome', job: `job${index}`, queue: 'queue', state: 'cancelled', occurrences: 1_000, steps: 20 })
+  pending.addCallback(() => written.push('callback'))
+  for (let appends = 0; !pending.isEmpty; appends++) {
+    const { records, callbacks, isLast } = pending.take(null)
+    expect(records.length).toBeGreaterThan(0)
+    expect(records.reduce((size, record) => size + sizeOf(record), 0)).toBeLessThanOrEqual(sizeLimits.append)
+    expect(callbacks.length).toBe(isLast ? 1 : 0)
+    expect(appends).toBeLessThan(20)
+  }
+})
