Conclude nothing from a part of a worker's runs

Cause: a response lists at most 500 completions. The owner took the first one after the cut for all, and each run that was neither among these nor active for lost. Ruled out: leases that ran out, and completions that the worker forgot; the next responses listed them. A cut isn't needed, 1,200 tasks that end at once do it. Change: a report says whether it is complete, and only a complete one shows that a run doesn't exist, also for a new owner and for a restarted worker. A row that can't be decoded makes a report incomplete; before, it made the whole response invalid, so that the worker counted as unreachable and its runs started elsewhere.

--- a/src/platform/http-worker-client.ts
+++ b/src/platform/http-worker-client.ts
@@ -11,17 +11,12 @@
 import type { CallClient } from './call-client.js'
 import type { CallError } from './call-error.js'
 import { parseJson } from './parse-json.js'
+import { RunListsCodec } from './run-lists-codec.js'
 
 /** Error kinds for the reasons given with status 409. */
 const CONFLICT_ERROR_KINDS: Readonly<Record<string, WorkerError['kind']>> = { fence: 'fenced', old: 'outdated', late: 'late', room: 'room', ticket: 'ticket' }
 
 const RefusalResponse = z.object({ reason: z.string().default('') })
-const RunListsResponse = z.object({
-  born: z.number().default(0),
-  clock_ms: z.number(),
-  running: z.array(z.tuple([z.string(), z.number(), z.string(), z.number()]).rest(z.number())).default([]),
-  ended: z.array(z.tuple([z.number(), z.string(), z.number(), z.enum(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']), z.string()])).default([])
-})
 
 /** Each request names the expected incarnation of the worker and carries the term as its fencing token. */
 export class HttpWorkerClient extends WorkerClient {
@@ -61,22 +56,13 @@
       ...(request.waitMilliseconds > 0 ? { wait_ms: Math.round(request.waitMilliseconds) } : {})
     }
     const response = await this._call('hold', body, deadline, signal)
-    return response.chain(responseBody => parseJson(RunListsResponse, responseBody).bimap(message => new WorkerError('invalid', message), lists => this._toReport(lists)))
+    return response.chain(responseBody => RunListsCodec.decode(responseBody).mapLeft(message => new WorkerError('invalid', message)))
   }
 
   override async close (): Promise<void> {
     await this._client.close()
   }
 
-  private _toReport (lists: z.infer<typeof RunListsResponse>): WorkerReport {
-    return {
-      incarnation: lists.born,
-      clock: lists.clock_ms,
-      running: lists.running.map(([task, run, checkpoint, percent, load = 0]) => ({ task, run, checkpoint, percent, load })),
-      ended: lists.ended.map(([sequence, task, run, result, checkpoint]) => ({ sequence, task, run, result, checkpoint }))
-    }
-  }
-
   private async _call (operation: string, body: object, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, Buffer>> {
     const response = await this._client.call({ method: 'POST', path: `/samphireglade/${operation}`, headers: this._headers, body, deadline, signal })
     if (response.isLeft()) {
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -27,6 +27,8 @@
   firstSeenAt = 0
   /** Whether the worker has reported runs that no placement accounts for, so that more of its resources are in use than are reserved. */
   hasOrphanedRuns = false
+  /** Number of runs and completions in the last report that could not be decoded. */
+  unreadableRows = 0
   /** Whether the worker gets nothing new because its VM is needed for maintenance or a move. */
   isCordoned = false
   /** Epoch milliseconds until which the worker gets nothing new after failed runs or a refused order. */
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -34,7 +34,7 @@
     const known = this._workers.find(entry.id)
     // A report may have shown a newer incarnation before the registry does.
     if (known && known.entry.incarnation > entry.incarnation) return known
-    if (known && known.entry.incarnation < entry.incarnation) this._startIncarnation(known, entry.incarnation, [])
+    if (known && known.entry.incarnation < entry.incarnation) this._startIncarnation(known, entry.incarnation, null)
     if (!known) for (const predecessor of this._workers.predecessorsAtAddress(entry)) this._losses.incarnationEnded(predecessor, 'replaced', [...predecessor.tasks])
     const worker = this._workers.applyEntry(entry)
     this._losses.workerListed(entry)
@@ -43,17 +43,19 @@
   }
 
   /**
-   * Applies a report.
+   * Applies a report. Only a complete one shows that a run doesn't exist.
    *
    * @param requestedAt epoch milliseconds at which the report was requested: it must contain all runs confirmed before.
    */
   applyReport (worker: FleetWorker, report: WorkerReport, requestedAt: number): void {
-    if (report.incarnation !== 0 && report.incarnation !== worker.entry.incarnation) this._startIncarnation(worker, report.incarnation, [...report.running, ...report.ended])
+    if (report.incarnation !== 0 && report.incarnation !== worker.entry.incarnation) this._startIncarnation(worker, report.incarnation, report)
     const isFirst = worker.lastReportAt === 0
     worker.recordReport(report.clock, this._clock.now())
     this._applyCompletions(worker, report.ended)
-    this._applyActiveRuns(worker, report.running, requestedAt)
+    this._applyActiveRuns(worker, report, requestedAt)
     this._stopUnneededRuns(worker, report.running)
+    if (report.unreadableRows !== worker.unreadableRows) this._log.emit('unreadable runs ignored', { worker: worker.entry.id, rows: report.unreadableRows })
+    worker.unreadableRows = report.unreadableRows
     if (isFirst) this._schedule.markChanged()
   }
 
@@ -74,12 +76,12 @@
     }
   }
 
-  private _applyActiveRuns (worker: FleetWorker, running: readonly ActiveRun[], requestedAt: number): void {
+  private _applyActiveRuns (worker: FleetWorker, { running, isComplete }: WorkerReport, requestedAt: number): void {
     const activeRunsByTask = new Map(running.map(activeRun => [activeRun.task, activeRun]))
     for (const task of [...worker.tasks]) {
       const activeRun = activeRunsByTask.get(task.name)
       if (activeRun?.run === task.run) this._confirmRun(task, activeRun)
-      else if (task.runState === 'inherited' || task.confirmedAt < requestedAt) this._schedule.runLost(task, 'not reported by its worker')
+      else if (isComplete && (task.runState === 'inherited' || task.confirmedAt < requestedAt)) this._schedule.runLost(task, 'not reported by its worker')
       // The earlier stop order may have failed along with the connection; only a confirmed stop shows that the run can no longer start.
       else if (task.runState === 'settling') this._dispatcher.stop(worker, task.name, task.run)
     }
@@ -123,10 +125,17 @@
     this._log.emit('worker in cooldown', { worker: worker.entry.id, failuresInRow: worker.consecutiveFailures, until: Math.round(worker.cooldownUntil) })
   }
 
-  /** Switches a worker to a new incarnation, in which only runs started since its restart exist, such as those that it has reported. */
-  private _startIncarnation (worker: FleetWorker, incarnation: number, reported: ReadonlyArray<Pick<ActiveRun, 'task' | 'run'>>): void {
+  /**
+   * Switches a worker to a new incarnation, in which only runs started since its restart exist, such as those that it has reported.
+   *
+   * @param report first report of the new incarnation, or null if the registry has shown it.
+   */
+  private _startIncarnation (worker: FleetWorker, incarnation: number, report: WorkerReport | null): void {
     this._log.emit('worker restarted', { worker: worker.entry.id, from: worker.entry.incarnation, to: incarnation, runs: worker.tasks.size })
-    const survivors = [...worker.tasks].filter(({ name, run }) => reported.some(other => other.task === name && other.run === run))
+    const reported = report ? [...report.running, ...report.ended] : []
+    // Another owner may have started a run on the new incarnation; its completion may be in a part of the report that follows.
+    const mayFollow = (task: ScheduledTask): boolean => task.runState === 'inherited' && report?.isComplete === false
+    const survivors = [...worker.tasks].filter(task => mayFollow(task) || reported.some(other => other.task === task.name && other.run === task.run))
     const lost = [...worker.tasks].filter(task => !survivors.includes(task) && task.runState !== 'starting' && task.runState !== 'settling' && task.runState !== 'intended')
     this._losses.incarnationEnded(worker, 'worker restarted', lost, survivors)
     worker.startIncarnation(incarnation, this._workers.unknownLeasesExpireAt)
--- a/src/scheduling/worker-report.ts
+++ b/src/scheduling/worker-report.ts
@@ -32,6 +32,10 @@
   /** The worker's monotonic clock, in milliseconds. */
   clock: z.number(),
   running: z.array(ActiveRun),
-  ended: z.array(RunCompletion)
+  ended: z.array(RunCompletion),
+  /** Whether it has all active runs and all unacknowledged completions: a worker returns only so many completions at once. */
+  isComplete: z.boolean(),
+  /** Number of runs and completions that could not be decoded. */
+  unreadableRows: z.number().int().min(0)
 })
 export type WorkerReport = z.infer<typeof WorkerReport>
--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -25,6 +25,9 @@
 /** Reading of a worker's clock when it starts, in milliseconds. */
 const INITIAL_CLOCK_MILLISECONDS = 1_000
 
+/** Maximum number of completions in one response. */
+const COMPLETIONS_PER_RESPONSE = 500
+
 /** Resources of a worker unless it is given others. */
 const DEFAULT_CAPACITY = { cpu: 64_000, mem_mb: 131_072 }
 
@@ -47,6 +50,8 @@
   readonly capacities: { cpu: number, mem_mb: number, since: number }[] = []
   /** Time that a stop takes, in milliseconds. */
   stopMilliseconds = 0
+  /** Rows of other kinds that the worker lists beside its own. */
+  oddRows: { running: unknown[], ended: unknown[] } = { running: [], ended: [] }
   /** Called when a run crashes the worker. */
   onCrash: () => void = () => {}
   /** All runs started, for checks. */
@@ -159,8 +164,8 @@
       body: {
         born: this.startedAt,
         clock_ms: this.clockMilliseconds,
-        running: [...this._runs.values()].map(({ task, run }) => [task, run, '', 100, 0]),
-        ended: this._unacknowledgedCompletions
+        running: [...this.oddRows.running, ...[...this._runs.values()].map(({ task, run }) => [task, run, '', 100, 0])],
+        ended: [...this._unacknowledgedCompletions.slice(0, COMPLETIONS_PER_RESPONSE), ...this.oddRows.ended]
       }
     }
   }
