Take no VM for gone that only one list lacks, and read the rows of a list one by one

A wave whose last VMs slipped through between two pages was reported as completed without their maintenance. Besides, one row of an unknown form made the whole list invalid, so that no wave and no move went on. Change: a VM is gone when two lists in a row lack it; rows that can't be decoded are left out, counted and logged when their number changes, and such a list makes no VM gone.

--- a/src/capacity/inventory-task.ts
+++ b/src/capacity/inventory-task.ts
@@ -6,6 +6,7 @@
 import { Notifier } from '../supervision/notifier.js'
 import { Task } from '../supervision/task.js'
 import type { FleetVirtualMachine } from './fleet-virtual-machine.js'
+import type { FleetVirtualMachineList } from './fleet-virtual-machine-list.js'
 import type { FleetVirtualMachineControl } from './fleet-virtual-machine-control.js'
 import type { VirtualMachineError } from './virtual-machine-error.js'
 
@@ -18,11 +19,19 @@
 /** Timeout of one list request, in milliseconds. */
 const LIST_TIMEOUT_MILLISECONDS = 1_500
 
+/** Number of lists in a row that lack a VM after which it counts as gone: between two pages of a list a VM can change its place. */
+const LISTS_UNTIL_GONE = 2
+
 /** Lists the VMs periodically, more often while changes are expected. */
 export class InventoryTask extends Task {
   override readonly name = 'inventory'
   readonly changed = new Notifier()
-  private _virtualMachines = new Map<string, FleetVirtualMachine>()
+  private readonly _virtualMachines = new Map<string, FleetVirtualMachine>()
+  /** Number of lists so far of which all rows could be decoded. */
+  private _completeLists = 0
+  /** Number of the last list that had each VM, counted as `_completeLists`. */
+  private readonly _lastListedIn = new Map<string, number>()
+  private _unreadableRows = 0
   private _listedAt = 0
   private _changesExpectedUntil = 0
   private _isReachable = true
@@ -45,6 +54,11 @@
     return this._virtualMachines.get(id) ?? null
   }
 
+  /** Whether a VM doesn't exist: the last lists lacked it. */
+  isGone (id: string): boolean {
+    return this._completeLists - (this._lastListedIn.get(id) ?? 0) >= LISTS_UNTIL_GONE
+  }
+
   /** Lists the VMs more often until `deadline` (epoch milliseconds). */
   expectChangesUntil (deadline: number): void {
     this._changesExpectedUntil = Math.max(this._changesExpectedUntil, deadline)
@@ -58,8 +72,7 @@
       if (signal.aborted) return
       this._recordReachability(result.isRight(), result.isLeft() ? (result.extract() as VirtualMachineError).message : '')
       if (result.isRight()) {
-        const virtualMachines = result.unsafeCoerce()
-        this._virtualMachines = new Map(virtualMachines.map(virtualMachine => [virtualMachine.id, virtualMachine]))
+        this._applyList(result.unsafeCoerce())
         this._listedAt = requestedAt
         this.changed.notify()
       }
@@ -70,6 +83,22 @@
     }
   }
 
+  /** Replaces the rows of all VMs in the list, and drops those that are gone. */
+  private _applyList ({ virtualMachines, unreadableRows }: FleetVirtualMachineList): void {
+    if (unreadableRows === 0) this._completeLists += 1
+    if (unreadableRows !== this._unreadableRows) this._log.emit('unreadable VMs ignored', { rows: unreadableRows, virtualMachines: virtualMachines.length })
+    this._unreadableRows = unreadableRows
+    for (const virtualMachine of virtualMachines) {
+      this._virtualMachines.set(virtualMachine.id, virtualMachine)
+      this._lastListedIn.set(virtualMachine.id, this._completeLists)
+    }
+    for (const id of this._virtualMachines.keys()) {
+      if (!this.isGone(id)) continue
+      this._virtualMachines.delete(id)
+      this._lastListedIn.delete(id)
+    }
+  }
+
   private _recordReachability (isReachable: boolean, cause: string): void {
     if (this._isReachable === isReachable) return
     this._isReachable = isReachable
--- a/src/capacity/wave-task.ts
+++ b/src/capacity/wave-task.ts
@@ -77,7 +77,7 @@
     if (this._inventory.listedAt === 0) return
     this._inventory.expectChangesUntil(now + ROUND_INTERVAL_MILLISECONDS)
     for (const id of wave.virtualMachines) this._checkReturn(wave, id, progress)
-    const remaining = wave.virtualMachines.filter(id => !this._hasReturned(wave, id, progress) && this._inventory.virtualMachineById(id) !== null)
+    const remaining = wave.virtualMachines.filter(id => !this._hasReturned(wave, id, progress) && !this._inventory.isGone(id))
     if (remaining.length === 0) {
       this._recordProgress({ ...progress, isCompleted: true })
       this._log.emit('wave completed', { wave: wave.wave, virtualMachines: wave.virtualMachines.length, deadline: wave.deadline })
--- a/src/platform/http-fleet-virtual-machine-control.ts
+++ b/src/platform/http-fleet-virtual-machine-control.ts
@@ -4,6 +4,7 @@
 import { Left, Right, type Either } from 'purify-ts/Either'
 import * as z from 'zod'
 import type { FleetVirtualMachine } from '../capacity/fleet-virtual-machine.js'
+import type { FleetVirtualMachineList } from '../capacity/fleet-virtual-machine-list.js'
 import { FleetVirtualMachineControl } from '../capacity/fleet-virtual-machine-control.js'
 import { VirtualMachineError } from '../capacity/virtual-machine-error.js'
 import type { CallClient } from './call-client.js'
@@ -19,7 +20,8 @@
 const WireVirtualMachine = z.object({
   machine: z.string(),
   pool: z.string(),
-  state: z.enum(['up', 'moving', 'upkeep', 'down']),
+  // A VM in a state of another name can't be used, like one that is down.
+  state: z.enum(['up', 'moving', 'upkeep', 'down']).catch('down'),
   zone: z.string().default(''),
   labels: z.array(z.string()).default([]),
   capacity: WireResources.prefault({}),
@@ -29,7 +31,7 @@
   id: row.machine, pool: row.pool, state: VIRTUAL_MACHINE_STATES[row.state], availabilityZone: row.zone, labels: row.labels, capacity: row.capacity, worker: row.id ?? ''
 }))
 
-const VirtualMachinePage = z.object({ machines: z.array(WireVirtualMachine), next_page_token: z.union([z.string(), z.number()]).nullish() })
+const VirtualMachinePage = z.object({ machines: z.array(z.unknown()), next_page_token: z.union([z.string(), z.number()]).nullish() })
 const RefusalResponse = z.object({ reason: z.string().default('') })
 
 /** Each order carries the lease holder and its term as the fencing token. */
@@ -39,8 +41,9 @@
     super()
   }
 
-  override async list (deadline: number, signal: AbortSignal): Promise<Either<VirtualMachineError, FleetVirtualMachine[]>> {
+  override async list (deadline: number, signal: AbortSignal): Promise<Either<VirtualMachineError, FleetVirtualMachineList>> {
     const virtualMachines: FleetVirtualMachine[] = []
+    let unreadableRows = 0
     for (let pageToken = ''; ;) {
       const path = `/samphireglade/machines${pageToken === '' ? '' : `?page_token=${encodeURIComponent(pageToken)}`}`
       const response = await this._client.call({ method: 'GET', path, deadline, signal })
@@ -50,8 +53,12 @@
       const page = parseJson(VirtualMachinePage, body)
       if (page.isLeft()) return Left(new VirtualMachineError('unknown', page.extract() as string))
       const { machines: rows, next_page_token: next } = page.unsafeCoerce()
-      virtualMachines.push(...rows)
-      if (next === null || next === undefined || next === '') return Right(virtualMachines)
+      for (const row of rows) {
+        const parsed = WireVirtualMachine.safeParse(row)
+        if (parsed.success) virtualMachines.push(parsed.data)
+        else unreadableRows += 1
+      }
+      if (next === null || next === undefined || next === '') return Right({ virtualMachines, unreadableRows })
       pageToken = String(next)
     }
   }
--- a/stand-ins/emulator/emulated-virtual-machines.ts
+++ b/stand-ins/emulator/emulated-virtual-machines.ts
@@ -38,6 +38,10 @@
   readonly orders: VirtualMachineOrder[] = []
   /** All orders that arrived, including refused ones and those that had no further effect. */
   readonly arrivedOrders: VirtualMachineOrder[] = []
+  /** VMs that the next list lacks, as if they had changed their place between two pages. */
+  readonly missingInNextList = new Set<string>()
+  /** Rows of another form that each list has beside its own. */
+  readonly oddRows: unknown[] = []
 
   /**
    * @param _stopWorker shuts down the worker on a VM.
@@ -50,10 +54,12 @@
 
   /** Returns the body of the list of VMs. */
   list (): object {
-    const virtualMachines = [...this.byId.values()].map(({ id, pool, state, zone, rack, worker }) => ({
+    const listed = [...this.byId.values()].filter(({ id }) => !this.missingInNextList.has(id))
+    this.missingInNextList.clear()
+    const virtualMachines = listed.map(({ id, pool, state, zone, rack, worker }) => ({
       machine: id, pool, state, zone, labels: ['a', rack], capacity: { cpu: 64_000, mem_mb: 131_072 }, ...(worker === '' ? {} : { id: worker })
     }))
-    return { machines: virtualMachines, next_page_token: null }
+    return { machines: [...virtualMachines, ...this.oddRows], next_page_token: null }
   }
 
   /** Executes an order and returns the status and body of the response. */
