Survive records and pages of any form

What operators of similar systems saw: one odd entry in a list ended the processes that read it again and again, or they stopped following it. Cause, tried on the code before with the heap of the deploy file: a list of a hundred thousand invalid items made as many findings, 75 MB and a log line of 8 MB, which was also kept; a key with half a surrogate pair, or an item without a key, made the reading of a page fail, so that after five restarts of the task the process ended; pages that don't advance were read for ever; a record larger than a page stopped the follower there.

--- a/src/jobs/job-submission.ts
+++ b/src/jobs/job-submission.ts
@@ -2,6 +2,7 @@
  * Submission of a job, as stored in the journal.
  */
 import * as z from 'zod'
+import { listOf } from '../schemas/list-of.js'
 import { StepDefinition } from './step-definition.js'
 
 /** Written to the journal before the caller's request is answered. */
@@ -13,7 +14,7 @@
   team: z.string(),
   /** Opaque instructions for the tasks. */
   specification: z.string(),
-  steps: z.array(StepDefinition).min(1),
+  steps: listOf(StepDefinition).refine(steps => steps.length > 0, 'must not be empty'),
   occurrences: z.number().int().min(1).max(1_000),
   /** Fleet time at which occurrence 0 is due; 0 for immediately. */
   startAt: z.number().min(0),
--- a/src/jobs/step-definition.ts
+++ b/src/jobs/step-definition.ts
@@ -2,6 +2,7 @@
  * A step of a job: a number of tasks of one kind.
  */
 import * as z from 'zod'
+import { listOf } from '../schemas/list-of.js'
 import { Resources } from './resources.js'
 
 /** Step as defined by the caller. Zero, false and empty mean "not requested". */
@@ -13,7 +14,7 @@
   /** The caller's rough estimate of a task's duration, in milliseconds. */
   estimateMilliseconds: z.number().min(0),
   /** Indexes of earlier steps whose tasks must all be done first. */
-  after: z.array(z.number().int().min(0)),
+  after: listOf(z.number().int().min(0)),
   /** Whether the tasks write checkpoints from which a later run resumes. */
   savesProgress: z.boolean(),
   /** Whether the tasks make progress only while all of them run. */
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -114,7 +114,7 @@
     const outcomes = new StartOutcomeHandler(schedule, scheduledJobs, workerTable, clock, metrics, log)
     const losses = new WorkerLossHandler(schedule, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, clock, metrics, log)
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, clock, metrics, log)
-    const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock), record => WorkerCodec.decode(record))
+    const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock), record => WorkerCodec.decode(record), log)
     const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
       workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(this._dialer), term,
       worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseDurations, pace, onLost, clock, random, metrics, log),
--- a/src/platform/http-advisor.ts
+++ b/src/platform/http-advisor.ts
@@ -5,10 +5,11 @@
 import * as z from 'zod'
 import { Advisor } from '../scheduling/advisor.js'
 import { AdvisorError } from '../scheduling/advisor-error.js'
+import { listOf } from '../schemas/list-of.js'
 import type { CallClient } from './call-client.js'
 import { parseJson } from './parse-json.js'
 
-const AdviceResponse = z.object({ good: z.array(z.tuple([z.string(), z.string()]).rest(z.unknown())) })
+const AdviceResponse = z.object({ good: listOf(z.tuple([z.string(), z.string()]).rest(z.unknown())) })
 
 /** Requests advice over HTTP. */
 export class HttpAdvisor extends Advisor {
--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -6,6 +6,9 @@
 import { CallError } from './call-error.js'
 import type { CallResponse } from './call-response.js'
 
+/** Maximum size of a response's body in bytes; the largest, a worker's lists of thousands of runs, have less than one million. */
+const MAXIMUM_BODY_BYTES = 8 * 2 ** 20
+
 /**
  * Collects the response of one request. Implements undici's dispatch handler, because the stream and the abort signal that
  * undici's `request` creates for each response cost an owner more processor time than the call itself.
@@ -16,6 +19,7 @@
   private _isSettled = false
   private _status = 0
   private readonly _chunks: Buffer[] = []
+  private _size = 0
 
   /** @param _settle called once with the response, or with an error that says whether the call may have been executed. */
   constructor (private readonly _settle: (result: Either<CallError, CallResponse>) => void) {}
@@ -40,6 +44,8 @@
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._size += chunk.length
+    if (this._size > MAXIMUM_BODY_BYTES) return this.cancel(`the response has more than ${MAXIMUM_BODY_BYTES} bytes`)
     this._chunks.push(chunk)
   }
 
--- a/src/platform/http-fleet-virtual-machine-control.ts
+++ b/src/platform/http-fleet-virtual-machine-control.ts
@@ -7,6 +7,7 @@
 import type { FleetVirtualMachineList } from '../capacity/fleet-virtual-machine-list.js'
 import { FleetVirtualMachineControl } from '../capacity/fleet-virtual-machine-control.js'
 import { VirtualMachineError } from '../capacity/virtual-machine-error.js'
+import { listOf } from '../schemas/list-of.js'
 import type { CallClient } from './call-client.js'
 import { parseJson } from './parse-json.js'
 import { WireResources } from './wire-resources.js'
@@ -23,7 +24,7 @@
   // A VM in a state of another name can't be used, like one that is down.
   state: z.enum(['up', 'moving', 'upkeep', 'down']).catch('down'),
   zone: z.string().default(''),
-  labels: z.array(z.string()).default([]),
+  labels: listOf(z.string()).default([]),
   capacity: WireResources.prefault({}),
   // ID of the worker that currently runs on the VM.
   id: z.string().nullish()
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -7,6 +7,7 @@
 import type { JournalRecord } from '../jobs/journal-record.js'
 import type { TaskProgress } from '../jobs/task-progress.js'
 import { WaveProgress } from '../jobs/wave-progress.js'
+import { listOf } from '../schemas/list-of.js'
 import type { KeyedRecord } from './keyed-record.js'
 import { parseJson } from './parse-json.js'
 
@@ -21,7 +22,7 @@
   z.number().int().min(0).max(PHASES.length - 1), z.number(), z.array(z.number()), z.string(), z.number(), z.string(),
   z.array(z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1)])).optional()
 ])
-const TaskRows = z.array(TaskRow)
+const TaskRows = listOf(TaskRow)
 const TermValue = z.object({ term: z.number(), holder: z.string(), isReleased: z.boolean(), at: z.number() })
 
 const OutcomeValue = z.object({ queue: z.string(), state: z.enum(['completed', 'failed', 'cancelled']) })
@@ -50,13 +51,13 @@
     }
   }
 
-  /** Returns nothing for redundant deletions, unknown keys and values that can't be parsed. */
+  /** Returns nothing for redundant deletions, unknown keys, and values that can't be parsed or belong to another key. */
   static decode ({ key, value }: KeyedRecord): Maybe<JournalRecord> {
     const [kind, id = '', occurrence, step] = key.split('/')
     // Only the deletion of an outcome matters: a job's other keys are deleted after its outcome, which supersedes them.
     if (value.length === 0) return kind === 'over' ? Just({ kind: 'retirement', job: id }) : Nothing
     switch (kind) {
-      case 'job': return parseJson(JobSubmission, value).toMaybe().map(submission => ({ kind: 'submission', submission }))
+      case 'job': return parseJson(JobSubmission, value).toMaybe().filter(submission => submission.id === id).map(submission => ({ kind: 'submission', submission }))
       case 'over': return parseJson(OutcomeValue, value).toMaybe().map(outcome => ({ kind: 'outcome', job: id, occurrences: 0, steps: 0, ...outcome }))
       case 'verdict': return Just({ kind: 'verdict', job: id })
       case 'cancel': return Just({ kind: 'cancellation', job: id })
@@ -64,7 +65,7 @@
         kind: 'progress', job: id, occurrence: Number(occurrence), step: Number(step), tasks: rows.map(row => this._decodeTask(row))
       }))
       case 'term': return parseJson(TermValue, value).toMaybe().map(term => ({ kind: 'term', ...term }))
-      case 'wave': return parseJson(WaveProgress, value).toMaybe().map(progress => ({ kind: 'wave', progress }))
+      case 'wave': return parseJson(WaveProgress, value).toMaybe().filter(progress => String(progress.wave) === id).map(progress => ({ kind: 'wave', progress }))
       case 'order': return parseJson(OrderValue, value).toMaybe().map(order => ({ kind: 'order', virtualMachine: id, ...order }))
       default: return Nothing
     }
--- a/src/platform/keyed-topic.ts
+++ b/src/platform/keyed-topic.ts
@@ -28,23 +28,24 @@
 /** Maximum page size of a read in kilobytes: takes a third of the grace period on the slowest link (7 Mbit/s), which other reads share. */
 const MAXIMUM_PAGE_KILOBYTES = 256
 
+/** Page size for a record that doesn't fit into such a page, in kilobytes: a record may have 256 KB without its length. */
+const LARGE_PAGE_KILOBYTES = 1_024
+
 /** Size of the header of a page in bytes: end offset of the topic and first retained offset. */
 const PAGE_HEADER_BYTES = 16
 
 const AppendResponse = z.object({ offset: z.number() })
 const RefusalResponse = z.object({ reason: z.string().optional() })
-const NewestResponse = z.object({
-  items: z.array(z.object({ key: z.string(), value: z.string(), offset: z.number() })),
-  more: z.boolean(),
-  end_offset: z.number()
-})
+const NewestItem = z.object({ key: z.string(), value: z.string(), offset: z.number() })
+const NewestResponse = z.object({ items: z.array(z.unknown()), more: z.boolean(), end_offset: z.number() })
 
 /** Reads and appends keyed records. A record with an empty value deletes its key. */
 export class KeyedTopic {
   private readonly _query: string
 
-  constructor (private readonly _client: CallClient, topic: string, private readonly _clock: Clock) {
-    this._query = `topic=${topic}&part=${PARTITION}`
+  /** @param name name of the topic. */
+  constructor (private readonly _client: CallClient, readonly name: string, private readonly _clock: Clock) {
+    this._query = `topic=${name}&part=${PARTITION}`
   }
 
   /** Reads the newest record of each key, page by page. */
@@ -62,18 +63,35 @@
       const page = parseJson(NewestResponse, body)
       if (page.isLeft()) return Left(new FeedError('invalid', page.extract() as string))
       const { items, more, end_offset: end } = page.unsafeCoerce()
-      for (const { key, value, offset } of items) changes.push({ offset, value: { key, value: Buffer.from(value, 'base64') } })
+      // One item of another form doesn't make the others unreadable.
+      const rows = items.flatMap(item => NewestItem.safeParse(item).data ?? [])
+      for (const { key, value, offset } of rows) changes.push({ offset, value: { key, value: Buffer.from(value, 'base64') } })
       // The pages are not a consistent snapshot: reading continues from the end offset of the first page, so later records are read again.
       next ??= end
-      if (!more || items.length === 0) return Right({ changes, next, end })
-      after = items[items.length - 1]?.key ?? ''
+      if (!more) return Right({ changes, next, end })
+      // A lone surrogate can't stand in a path.
+      const last = Buffer.from(rows[rows.length - 1]?.key ?? '', 'utf8').toString('utf8')
+      if (last === '' || last === after) return Left(new FeedError('invalid', `no record follows the key ${after}, although more are announced`))
+      after = last
     }
   }
 
   /** Reads records from an offset on; waits for one until `waitDeadline` (epoch milliseconds). */
   async read (offset: number, waitDeadline: number, signal: AbortSignal): Promise<Either<FeedError, FeedPage<KeyedRecord>>> {
+    const page = await this._readPage(offset, waitDeadline, MAXIMUM_PAGE_KILOBYTES, signal)
+    if (!this._isCut(page)) return page
+    const largePage = await this._readPage(offset, waitDeadline, LARGE_PAGE_KILOBYTES, signal)
+    return this._isCut(largePage) ? Left(new FeedError('invalid', `the record at offset ${offset} does not fit into a page`)) : largePage
+  }
+
+  /** Whether a page has no whole record although there are some. */
+  private _isCut (page: Either<FeedError, FeedPage<KeyedRecord>>): boolean {
+    return page.map(({ changes, next, end }) => changes.length === 0 && end > next).orDefault(false)
+  }
+
+  private async _readPage (offset: number, waitDeadline: number, kilobytes: number, signal: AbortSignal): Promise<Either<FeedError, FeedPage<KeyedRecord>>> {
     const waitMilliseconds = Math.max(0, Math.round(waitDeadline - this._clock.now()))
-    const path = `/samphireglade/log-read?${this._query}&from=${offset}&max_kb=${MAXIMUM_PAGE_KILOBYTES}&wait_ms=${waitMilliseconds}`
+    const path = `/samphireglade/log-read?${this._query}&from=${offset}&max_kb=${kilobytes}&wait_ms=${waitMilliseconds}`
     const response = await this._client.call({ method: 'GET', path, deadline: waitDeadline + LONG_POLL_GRACE_PERIOD_MILLISECONDS, signal })
     if (response.isLeft()) return Left(new FeedError('unknown', (response.extract() as Error).message))
     const { status, body } = response.unsafeCoerce()
--- a/src/platform/operator-codec.ts
+++ b/src/platform/operator-codec.ts
@@ -4,6 +4,7 @@
 import { Just, type Maybe } from 'purify-ts/Maybe'
 import * as z from 'zod'
 import type { OperatorChange } from '../configuration/operator-change.js'
+import { listOf } from '../schemas/list-of.js'
 import type { KeyedRecord } from './keyed-record.js'
 import { parseJson } from './parse-json.js'
 import { WireConfiguration } from './wire-configuration.js'
@@ -13,7 +14,7 @@
 
 const WireWave = z.object({
   wave: z.number().int(),
-  machines: z.array(z.string()),
+  machines: listOf(z.string()),
   duration_s: z.number().min(0),
   // Maximum number of VMs down for maintenance at once.
   max_count: z.number().int().min(1).default(1)
--- a/src/platform/topic-feed.ts
+++ b/src/platform/topic-feed.ts
@@ -1,17 +1,22 @@
 /**
  * A record feed that reads a keyed topic.
  */
-import type { Either } from 'purify-ts/Either'
+import { Either } from 'purify-ts/Either'
 import type { Maybe } from 'purify-ts/Maybe'
+import type { FeedChange } from '../feeds/feed-change.js'
 import type { FeedError } from '../feeds/feed-error.js'
 import type { FeedPage } from '../feeds/feed-page.js'
 import { RecordFeed } from '../feeds/record-feed.js'
+import type { DecisionLog } from '../observability/decision-log.js'
 import type { KeyedRecord } from './keyed-record.js'
 import type { KeyedTopic } from './keyed-topic.js'
 
-/** Decodes the records of the topic and skips those for which the decoder returns nothing. */
+/** Part of a record's key that is logged, in characters. */
+const MAXIMUM_KEY_CHARACTERS = 100
+
+/** Decodes the records of the topic and skips those for which the decoder returns nothing, or fails. */
 export class TopicFeed<T> extends RecordFeed<T> {
-  constructor (private readonly _topic: KeyedTopic, private readonly _decode: (record: KeyedRecord) => Maybe<T>) {
+  constructor (private readonly _topic: KeyedTopic, private readonly _decode: (record: KeyedRecord) => Maybe<T>, private readonly _log: DecisionLog) {
     super()
   }
 
@@ -24,10 +29,13 @@
   }
 
   private _decodePage ({ changes, next, end }: FeedPage<KeyedRecord>): FeedPage<T> {
-    return {
-      changes: changes.flatMap(({ offset, value }) => this._decode(value).map(decoded => [{ offset, value: decoded }]).orDefault([])),
-      next,
-      end
-    }
+    return { changes: changes.flatMap(change => this._decodeChange(change)), next, end }
+  }
+
+  /** A decoder that throws would end the task that reads the topic, and again after each restart. */
+  private _decodeChange ({ offset, value }: FeedChange<KeyedRecord>): FeedChange<T>[] {
+    return Either.encase(() => this._decode(value)).ifLeft(error => {
+      this._log.emit('record not decoded', { topic: this._topic.name, key: value.key.slice(0, MAXIMUM_KEY_CHARACTERS), offset, cause: error.message })
+    }).map(decoded => decoded.map(change => [{ offset, value: change }]).orDefault([])).orDefault([])
   }
 }
--- a/src/platform/topic-journal.ts
+++ b/src/platform/topic-journal.ts
@@ -8,6 +8,7 @@
 import { JobJournal } from '../jobs/job-journal.js'
 import type { JournalFence } from '../jobs/journal-fence.js'
 import type { JournalRecord } from '../jobs/journal-record.js'
+import type { DecisionLog } from '../observability/decision-log.js'
 import { JournalCodec } from './journal-codec.js'
 import type { KeyedTopic } from './keyed-topic.js'
 import { TopicFeed } from './topic-feed.js'
@@ -23,9 +24,9 @@
 export class TopicJournal extends JobJournal {
   private readonly _feed: TopicFeed<JournalRecord>
 
-  constructor (private readonly _topic: KeyedTopic) {
+  constructor (private readonly _topic: KeyedTopic, log: DecisionLog) {
     super()
-    this._feed = new TopicFeed(_topic, record => JournalCodec.decode(record))
+    this._feed = new TopicFeed(_topic, record => JournalCodec.decode(record), log)
   }
 
   override readonly sizeLimits = { record: MAXIMUM_RECORD_BYTES, append: MAXIMUM_APPEND_BYTES }
--- a/src/platform/wire-configuration.ts
+++ b/src/platform/wire-configuration.ts
@@ -6,6 +6,7 @@
 import type { JobQueue } from '../configuration/job-queue.js'
 import type { JobTeam } from '../configuration/job-team.js'
 import type { WorkerPool } from '../configuration/worker-pool.js'
+import { listOf } from '../schemas/list-of.js'
 import { WireResources } from './wire-resources.js'
 
 /** Maximum request body if the configuration sets none, in bytes. */
@@ -49,7 +50,7 @@
 
 const WireTenant = z.object({
   name: z.string(),
-  api_keys: z.array(z.string()).default([]),
+  api_keys: listOf(z.string()).default([]),
   weight: z.number().default(1),
   // An upper limit on the resources in use, not on the number of requests.
   max_count: WireResources.prefault({})
@@ -58,9 +59,9 @@
 /** Value of the operators' `config` record. */
 export const WireConfiguration = z.object({
   version: z.number(),
-  routes: z.array(WireRoute).default([]),
-  services: z.array(WireService).default([]),
-  tenants: z.array(WireTenant).default([]),
+  routes: listOf(WireRoute).default([]),
+  services: listOf(WireService).default([]),
+  tenants: listOf(WireTenant).default([]),
   limits: z.object({ max_body_bytes: z.number().int().min(1).default(DEFAULT_MAXIMUM_BODY_BYTES) }).prefault({})
 }).transform((wire): FleetConfiguration => ({
   version: wire.version,
--- a/src/platform/wire-job.ts
+++ b/src/platform/wire-job.ts
@@ -4,6 +4,7 @@
 import * as z from 'zod'
 import type { JobSubmission } from '../jobs/job-submission.js'
 import type { StepDefinition } from '../jobs/step-definition.js'
+import { listOf } from '../schemas/list-of.js'
 import { WireResources } from './wire-resources.js'
 
 /** Maximum length of a specification in bytes. */
@@ -21,7 +22,7 @@
 const WireStep = z.object({
   count: z.number().int().min(1).max(MAXIMUM_TASKS_PER_STEP).default(1),
   estimate_ms: z.number().min(0).default(0),
-  after: z.array(z.number().int().min(0)).default([]),
+  after: listOf(z.number().int().min(0)).default([]).transform(earlier => [...new Set(earlier)]),
   saves_progress: z.boolean().default(false),
   gang: z.boolean().default(false),
   same_rack: z.boolean().default(false),
--- a/src/platform/list-of.ts
+++ b/src/schemas/list-of.ts
@@ -1,5 +1,5 @@
 /**
- * A schema for lists in messages and records.
+ * A schema of lists in messages and records.
  */
 import * as z from 'zod'
 
--- a/tests/platform-http-clients.test.ts
+++ b/tests/platform-http-clients.test.ts
@@ -103,7 +103,7 @@
   const { emulator, connect } = startEmulator()
   emulator.addVirtualMachine('standby', 'a')
   const control = new HttpFleetVirtualMachineControl(await connect(emulator.addresses.machines), 'one')
-  expect((await control.list(distantDeadline(), signal)).unsafeCoerce()).toMatchObject([{ id: 'm-0', pool: 'standby', state: 'up', worker: '' }])
+  expect((await control.list(distantDeadline(), signal)).unsafeCoerce()).toMatchObject({ virtualMachines: [{ id: 'm-0', pool: 'standby', state: 'up', worker: '' }], unreadableRows: 0 })
   expect((await control.move('m-0', 'work', 5, distantDeadline(), signal)).isRight()).toBe(true)
   expect((await control.move('m-0', 'work', 5, distantDeadline(), signal)).isRight()).toBe(true)
   expect((await control.maintain('m-0', 1, 5, distantDeadline(), signal)).extract()).toMatchObject({ kind: 'busy' })
