Believe no registry entry about a worker that it doesn't name

Cause: an entry without the fields that workers write, and of a service that isn't configured, was taken for a worker; and an entry with the address of another worker was taken for proof that this one had ended. Ruled out: the worker's own entry was there all the time, and the worker answered each call. A successor's entry counts as a crash only of a worker that refuses connections. An entry under a worker's ID that names another address or pool for the same start is ignored.

--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -53,6 +53,8 @@
   unreachableSince = 0
   /** Whether a connection to the worker has been refused since the last report: nothing listens at its address, or a network device says so. */
   refusesConnections = false
+  /** Whether another worker has named its address while it refused connections: unless it reports again, it has ended. */
+  hasSuccessor = false
   /** Lower bound on the worker's clock at `lastReportAt`. */
   private _workerClockAtReport = 0
   /** Latest lease deadline that may have reached the worker, on the worker's clock. */
@@ -170,5 +172,6 @@
   private _clearFailedCalls (): void {
     this.unreachableSince = 0
     this.refusesConnections = false
+    this.hasSuccessor = false
   }
 }
--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -55,7 +55,8 @@
     const crashes = worker.refusesConnections && this._isUnplanned(worker) ? this._attribution.attribute(worker) : []
     this._logLoss('worker lease expired', worker, 'lease expired', crashes)
     for (const task of [...worker.tasks]) this._schedule.runLost(task, 'lease expired')
-    if (crashes.length > 0) this._expiredWorkers = [...this._expiredWorkers, { entry: worker.entry, forgetAt: this._clock.now() + LOSS_RETENTION_MILLISECONDS, crashes }]
+    if (worker.hasSuccessor) for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
+    else if (crashes.length > 0) this._expiredWorkers = [...this._expiredWorkers, { entry: worker.entry, forgetAt: this._clock.now() + LOSS_RETENTION_MILLISECONDS, crashes }]
   }
 
   /** Records the crashes of a worker whose lease had expired before another incarnation took its place. */
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -29,13 +29,20 @@
     private readonly _losses: WorkerLossHandler, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {}
 
-  /** Applies a registry entry. A newer incarnation of a known worker has none of the runs of the previous one. */
+  /**
+   * Applies a registry entry. A newer incarnation of a known worker has none of the runs of the previous one. That another worker names the
+   * address of a known one doesn't prove that the known one has ended, because others than workers write entries: what responds at the address tells which worker is there.
+   */
   applyEntry (entry: WorkerEntry): FleetWorker {
     const known = this._workers.find(entry.id)
     // A report may have shown a newer incarnation before the registry does.
     if (known && known.entry.incarnation > entry.incarnation) return known
+    if (known && this._contradicts(known, entry)) {
+      this._log.emit('contradictory worker entry ignored', { worker: entry.id, incarnation: entry.incarnation, pool: entry.pool, address: entry.address })
+      return known
+    }
     if (known && known.entry.incarnation < entry.incarnation) this._startIncarnation(known, entry.incarnation, null)
-    if (!known) for (const predecessor of this._workers.predecessorsAtAddress(entry)) this._losses.incarnationEnded(predecessor, 'replaced', [...predecessor.tasks])
+    if (!known) for (const predecessor of this._workers.unreachableAtAddress(entry)) predecessor.hasSuccessor = true
     const worker = this._workers.applyEntry(entry)
     this._losses.workerListed(entry)
     this._schedule.markChanged()
@@ -59,6 +66,11 @@
     if (isFirst) this._schedule.markChanged()
   }
 
+  /** Whether an entry isn't that of the incarnation which it names: a worker keeps its address and its pool for as long as it lives. */
+  private _contradicts ({ isEntryCurrent, entry: known }: FleetWorker, entry: WorkerEntry): boolean {
+    return isEntryCurrent && known.address !== '' && known.incarnation === entry.incarnation && (known.address !== entry.address || known.pool !== entry.pool)
+  }
+
   private _applyCompletions (worker: FleetWorker, completions: readonly RunCompletion[]): void {
     const newCompletions = completions.filter(({ sequence }) => sequence > worker.appliedSequence)
     if (newCompletions.length === 0) return
--- a/src/scheduling/worker-registry-follower-task.ts
+++ b/src/scheduling/worker-registry-follower-task.ts
@@ -7,6 +7,7 @@
 import type { Task } from '../supervision/task.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { WorkerChange } from './worker-change.js'
+import type { WorkerEntry } from './worker-entry.js'
 import type { WorkerReconciler } from './worker-reconciler.js'
 import type { WorkerConnector } from './worker-connector.js'
 import type { WorkerTable } from './worker-table.js'
@@ -21,6 +22,8 @@
 export class WorkerRegistryFollowerTask extends FeedFollowerTask<WorkerChange> {
   override readonly name = 'workers'
   private readonly _unreadableCauses = new Map<string, string>()
+  /** Entries of pools that the configuration doesn't name, by ID; one that is configured later has its workers listed already. */
+  private readonly _foreignEntries = new Map<string, WorkerEntry>()
   /** Epoch milliseconds at which workers that a reload did not list are marked as unlisted, by worker ID. */
   private readonly _unlistAt = new Map<string, number>()
 
@@ -46,13 +49,13 @@
     this._unlistMissing()
     switch (value.kind) {
       case 'listed': {
-        const { id } = value.entry
-        this._unreadableCauses.delete(id)
-        this._unlistAt.delete(id)
-        this._startLeaseRenewal(this._reconciler.applyEntry(value.entry))
+        this._unreadableCauses.delete(value.entry.id)
+        this._applyEntry(value.entry)
         return
       }
       case 'removed':
+        this._unreadableCauses.delete(value.id)
+        this._foreignEntries.delete(value.id)
         this._workers.markUnlisted(value.id)
         return
       case 'unreadable':
@@ -62,10 +65,28 @@
     }
   }
 
+  /** Applies the entries of pools that have been configured since. */
+  protected override async untilReadNeeded (): Promise<void> {
+    for (const entry of this._foreignEntries.values()) if (this._workers.namesPool(entry)) this.applyOrSkip({ offset: this.nextOffset, value: { kind: 'listed', entry } })
+  }
+
   protected override minimumReadIntervalMilliseconds (): number {
     return MINIMUM_READ_INTERVAL_MILLISECONDS
   }
 
+  private _applyEntry (entry: WorkerEntry): void {
+    const { id, pool } = entry
+    // A worker that is known may still run something after its pool has been removed.
+    if (!this._workers.find(id) && !this._workers.namesPool(entry)) {
+      if (!this._foreignEntries.has(id)) this.log.emit('worker entry of an unknown pool ignored', { worker: id, pool })
+      this._foreignEntries.set(id, entry)
+      return
+    }
+    this._foreignEntries.delete(id)
+    this._unlistAt.delete(id)
+    this._startLeaseRenewal(this._reconciler.applyEntry(entry))
+  }
+
   /** Starts the lease renewal task of a worker; a worker that is listed again while its task still runs keeps that task. */
   private _startLeaseRenewal (worker: FleetWorker): void {
     if (worker.client) return
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -53,9 +53,14 @@
     return this._workers.get(id) ?? null
   }
 
-  /** Returns the workers with tasks whose address belongs to a later worker now: an address is reused only after its worker has ended. */
-  predecessorsAtAddress ({ id, address, incarnation }: WorkerEntry): FleetWorker[] {
-    return [...this.all].filter(({ entry, tasks }) => tasks.size > 0 && entry.address === address && entry.id !== id && entry.incarnation < incarnation)
+  /** Returns the workers that refuse connections and whose address a later worker names. */
+  unreachableAtAddress ({ id, address, incarnation }: WorkerEntry): FleetWorker[] {
+    return [...this.all].filter(({ entry, refusesConnections }) => refusesConnections && entry.address === address && entry.id !== id && entry.incarnation < incarnation)
+  }
+
+  /** Whether the configuration names the pool of an entry, or there is none yet: an entry of another pool isn't a worker's. */
+  namesPool ({ pool }: WorkerEntry): boolean {
+    return this._configuration.configuration === null || this._configuration.pool(pool) !== null
   }
 
   /** Returns whether nothing planned keeps a worker from new tasks: no shutdown, cordon or zone outage. */
--- a/stand-ins/emulator/emulated-store.ts
+++ b/stand-ins/emulator/emulated-store.ts
@@ -72,9 +72,13 @@
 
   /** Appends a keyed record, as operators and workers do; null deletes the key. */
   put (topic: string, key: string, value: object | null): void {
+    this.putBytes(topic, key, Buffer.from(value === null ? '' : JSON.stringify(value)))
+  }
+
+  /** Appends a keyed record of any bytes, as another writer does. */
+  putBytes (topic: string, key: string, value: Buffer): void {
     const keyBytes = Buffer.from(key)
-    const text = Buffer.from(value === null ? '' : JSON.stringify(value))
-    this.partition(topic).append([Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, text])], new URLSearchParams())
+    this.partition(topic).append([Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, value])], new URLSearchParams())
     this._appended.notify()
   }
 
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -16,6 +16,10 @@
 import { SystemClock } from '../src/supervision/system-clock.js'
 import { EmulatedFleet } from './support/emulated-fleet.js'
 
+const WORKER_ENTRY = {
+  service: 's', address: '10.0.0.1:80', zone: 'z', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, seq: 1, born: 1, capacity: { cpu: 1_000, mem_mb: 10 }, labels: ['a', 'r1']
+}
+
 const task = fc.record({
   phase: fc.constantFrom('waiting' as const, 'placed' as const, 'done' as const, 'failed' as const),
   run: fc.nat(),
@@ -57,14 +61,14 @@
 })
 
 test('a worker entry with a null or invalid field is unreadable', () => {
-  const entry = { service: 's', address: '10.0.0.1:80', zone: 'z', state: 'ready', born: 1, capacity: { cpu: 1_000, mem_mb: 10 }, labels: ['a', 'r1'] }
+  const entry = WORKER_ENTRY
   const decodedKind = (change: object): string | undefined => WorkerCodec.decode({ key: 'i-1', value: Buffer.from(JSON.stringify({ ...entry, ...change })) }).extract()?.kind
   expect(decodedKind({})).toBe('listed')
   for (const change of [{ service: 7 }, { address: 'nowhere' }, { zone: null }, { state: 'asleep' }, { capacity: 'large' }, { labels: [1] }]) expect(decodedKind(change)).toBe('unreadable')
 })
 
 test('a worker entry whose ID cannot stand in a header is unreadable', () => {
-  const entry = Buffer.from(JSON.stringify({ service: 's', address: '10.0.0.1:80', zone: 'z', state: 'ready', born: 1, capacity: { cpu: 1_000, mem_mb: 10 } }))
+  const entry = Buffer.from(JSON.stringify(WORKER_ENTRY))
   for (const key of ['i-1\nother: 2', 'i 1', '\u0000', 'ü', '']) expect(WorkerCodec.decode({ key, value: entry }).extract()).toMatchObject({ kind: 'unreadable' })
   expect(WorkerCodec.decode({ key: 'i-1', value: entry }).extract()).toMatchObject({ kind: 'listed' })
 })
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -60,7 +60,7 @@
   }
 
   /** Publishes a configuration with one pool, a standby pool, one queue and one team. */
-  configure (overrides: { upperLimit?: number, advice?: boolean, routes?: object[], teams?: object[], keys?: string[], maximumAttempts?: number, hasStandby?: boolean, rejectsOverload?: boolean } = {}): void {
+  configure (overrides: { upperLimit?: number, advice?: boolean, routes?: object[], teams?: object[], services?: object[], keys?: string[], maximumAttempts?: number, hasStandby?: boolean, rejectsOverload?: boolean } = {}): void {
     this._version += 1
     const route = {
       name: 'queue',
@@ -76,7 +76,7 @@
     this.emulator.publish('config', {
       version: this._version,
       routes: [route, ...overrides.routes ?? []],
-      services: [{ name: 'work', rejects_overload: overrides.rejectsOverload ?? true }, ...overrides.hasStandby === false ? [] : [{ name: 'standby', standby: true }]],
+      services: [{ name: 'work', rejects_overload: overrides.rejectsOverload ?? true }, ...overrides.hasStandby === false ? [] : [{ name: 'standby', standby: true }], ...overrides.services ?? []],
       tenants: [{ name: 'team', api_keys: overrides.keys ?? [KEY], weight: 10, max_count: { cpu: overrides.upperLimit ?? 0, mem_mb: 0, gpus: 0 } }, ...overrides.teams ?? []],
       limits: { max_body_bytes: 262_144 }
     })
@@ -128,9 +128,9 @@
   }
 
   /** Submits a job to a process. */
-  submit (node: string, id: string, steps: readonly Partial<StepDefinition>[], options: { occurrences?: number, startAt?: number, intervalMilliseconds?: number } = {}, key = KEY): Promise<JobResponse> {
+  submit (node: string, id: string, steps: readonly Partial<StepDefinition>[], options: { occurrences?: number, startAt?: number, intervalMilliseconds?: number } = {}, key = KEY, pathPrefix = '/q/'): Promise<JobResponse> {
     const job = { specification: 'text', steps: steps.map(step => ({ ...PLAIN_STEP, ...step })), occurrences: 1, startAt: 0, intervalMilliseconds: 0, ...options }
-    return this._awaitResponse(this._service(node).submit({ ...this._createRequest(node, id), key }, id, job))
+    return this._awaitResponse(this._service(node).submit({ ...this._createRequest(node, id), key, path: `${pathPrefix}${id}` }, id, job))
   }
 
   /** Queries the state of a job at a process. */
