--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -1,6 +1,7 @@
 /**
  * State of all jobs, built from the journal.
  */
+import type { Clock } from '../supervision/clock.js'
 import { JobBacklog } from './job-backlog.js'
 import type { JobState } from './job-state.js'
 import type { JobObserver } from './job-observer.js'
@@ -20,6 +21,16 @@
   readonly renewedAt: number
 }
 
+/** A bound on the leases of one incarnation of a worker. */
+interface LeaseBound {
+  readonly incarnation: number
+  readonly term: number
+  /** Fleet time at which the owner decided on it. */
+  readonly decidedAt: number
+  /** Epoch milliseconds by which the leases have expired. */
+  readonly expiresAt: number
+}
+
 /**
  * Applies the journal's records. Every process keeps a table: it provides the states that callers ask for, and a new owner
  * continues from it.
@@ -38,9 +49,12 @@
   private readonly _earlyDecisions = new Map<string, Array<(job: JobView) => boolean>>()
   private readonly _waves = new Map<number, WaveProgress>()
   private readonly _orders = new Map<string, { readonly term: number, readonly orderedAt: number }>()
+  private readonly _leaseBounds = new Map<string, LeaseBound>()
   private _ownerRecordCount = 0
   private _term: Term = { number: 0, holder: '', isReleased: true, renewedAt: 0 }
 
+  constructor (private readonly _clock: Clock) {}
+
   /** Newest term claimed. */
   get term (): Term {
     return this._term
@@ -76,6 +90,20 @@
     return this._orders.get(virtualMachine) ?? null
   }
 
+  /** IDs of the workers with a bound on their leases. */
+  get workersWithLeaseBound (): IterableIterator<string> {
+    return this._leaseBounds.keys()
+  }
+
+  /**
+   * Returns the epoch milliseconds by which all leases of an incarnation of a worker have expired, or null if the owner of the given term has written no bound. Those of
+   * earlier terms don't count: an owner that doesn't know of bounds may have extended leases since.
+   */
+  leaseBound (worker: string, incarnation: number, term: number): number | null {
+    const bound = this._leaseBounds.get(worker)
+    return bound?.incarnation === incarnation && bound.term === term ? bound.expiresAt : null
+  }
+
   /** Returns the number of accepted jobs of a queue of which nothing has started. */
   countPending (queue: string): number {
     return this._pending.get(queue)?.size ?? 0
@@ -117,6 +145,12 @@
       case 'order':
         this._orders.set(record.virtualMachine, { term: record.term, orderedAt: record.at })
         return true
+      case 'lease-bound':
+        this._applyLeaseBound(record)
+        return true
+      case 'lease-bound-withdrawal':
+        this._leaseBounds.delete(record.worker)
+        return true
     }
   }
 
@@ -146,6 +180,16 @@
     this.observer?.jobCancellationRequested(job)
   }
 
+  /**
+   * The time that was left is counted from when this process first read of the bound, which is later than the decision: then neither a clock that differs nor one that
+   * stood still shortens it.
+   */
+  private _applyLeaseBound ({ worker, incarnation, term, at, expiresAt }: Extract<JournalRecord, { kind: 'lease-bound' }>): void {
+    const known = this._leaseBounds.get(worker)
+    if (known?.incarnation === incarnation && known.term === term && known.decidedAt === at) return
+    this._leaseBounds.set(worker, { incarnation, term, decidedAt: at, expiresAt: this._clock.now() + Math.max(0, expiresAt - at) })
+  }
+
   /** Applies a decision now, or once the submission has been read. Returns false if it doesn't fit the job. */
   private _applyDecision (id: string, decision: (job: JobView) => boolean): boolean {
     if (this._outcomes.has(id)) return true
--- a/src/main/node-tree.ts
+++ b/src/main/node-tree.ts
@@ -84,7 +84,7 @@
     this._submissionJournal = new TopicJournal(new KeyedTopic(this._storeClient, SUBMISSION_TOPIC, _clock), _log)
     const operatorFeed = new TopicFeed(new KeyedTopic(this._storeClient, OPERATOR_TOPIC, _clock), record => OperatorCodec.decode(record), _log)
     this.configuration = new ConfigurationFollowerTask(operatorFeed, _clock, _random, _metrics, _log)
-    const jobTable = new JobTable()
+    const jobTable = new JobTable(_clock)
     this._fleetTime = new FleetTime(_clock, this._holder)
     this.decisions = new JournalFollowerTask('decisions', jobTable, this._fleetTime, this._decisionJournal, _clock, _random, _metrics, _log)
     this.submissions = new JournalFollowerTask('submissions', jobTable, this._fleetTime, this._submissionJournal, _clock, _random, _metrics, _log)
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -46,6 +46,7 @@
 import { TeamUsage } from '../scheduling/team-usage.js'
 import { UrgencyPlacementPolicy } from '../scheduling/urgency-placement-policy.js'
 import { WorkerRegistryFollowerTask } from '../scheduling/worker-registry-follower-task.js'
+import { LeaseBounds } from '../scheduling/lease-bounds.js'
 import { LeaseRenewalTask } from '../scheduling/lease-renewal-task.js'
 import { RecentStartAttributionPolicy } from '../scheduling/recent-start-attribution-policy.js'
 import { WorkerLossHandler } from '../scheduling/worker-loss-handler.js'
@@ -107,24 +108,25 @@
       (worker, task, run) => new StopRunTask(worker, task, run, outcomes, onLost, clock, random, log)
     )
     const advice: AdviceTask = new AdviceTask(this._advisor, () => schedule.markChanged(), clock, metrics, log)
-    const workerTable = new WorkerTable(configuration, leaseDurations, claim.isHandover ? clock.now() : claim.predecessorLastContactAt + RENEWAL_GRACE_PERIOD_MILLISECONDS, () => workerRegistry.freshAt, clock, log)
+    const workerTable = new WorkerTable(configuration, jobTable, leaseDurations, claim.previousTerm, claim.isHandover ? clock.now() : claim.predecessorLastContactAt + RENEWAL_GRACE_PERIOD_MILLISECONDS, () => workerRegistry.freshAt, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
     const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, this._fleetTime, clock, metrics, log)
     const outcomes = new StartOutcomeHandler(schedule, scheduledJobs, workerTable, clock, metrics, log)
-    const losses = new WorkerLossHandler(schedule, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, clock, metrics, log)
+    const leaseBounds = new LeaseBounds(jobTable, writer, term, this._fleetTime, log)
+    const losses = new WorkerLossHandler(schedule, leaseBounds, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, clock, metrics, log)
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock), record => WorkerCodec.decode(record), log)
     const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
       workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(this._dialer), term,
-      worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseDurations, pace, onLost, clock, random, metrics, log),
+      worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseBounds, leaseDurations, pace, onLost, clock, random, metrics, log),
       workerFeed, clock, random, metrics, log
     )
     const placement = new PlacementTask(
       schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
-    const takeover = new TakeoverTask(jobTable, workerRegistry, schedule, placement, clock)
+    const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, placement, clock)
 
     const owner = this._createSupervisor('owner')
     // Children stop in reverse order: placement before the writer, and the writer before the orders that follow from its last decisions.
--- a/src/ownership/term-task.ts
+++ b/src/ownership/term-task.ts
@@ -108,7 +108,7 @@
       const lastContactAt = this._decisions.ownerLastContactAt
       const claim = await this._decisionJournal.append(
         [{ kind: 'term', term, holder: this._holder, isReleased: false, at: this._fleetTime.fromLocal(sentAt) }], { term, sequence: 0, expectedEnd: this._decisions.nextOffset }, sentAt + CLAIM_TIMEOUT_MILLISECONDS, signal)
-      if (claim.isRight()) return { offset: claim.unsafeCoerce().first, sentAt, isHandover: previousTerm.isReleased && previousTerm.number > 0, predecessorLastContactAt: lastContactAt }
+      if (claim.isRight()) return { offset: claim.unsafeCoerce().first, sentAt, previousTerm: previousTerm.number, isHandover: previousTerm.isReleased && previousTerm.number > 0, predecessorLastContactAt: lastContactAt }
       const error = claim.extract() as FeedError
       if (error.kind === 'moved') {
         // Either the predecessor has written another record, or another process has claimed a term.
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -27,12 +27,13 @@
 
 const OutcomeValue = z.object({ queue: z.string(), state: z.enum(['completed', 'failed', 'cancelled']) })
 const OrderValue = z.object({ term: z.number(), at: z.number() })
+const LeaseBoundValue = z.object({ incarnation: z.number(), term: z.number(), at: z.number(), expiresAt: z.number() })
 
 const TOMBSTONE = Buffer.alloc(0)
 
 /**
  * Keys of submissions are `job/ID` and `cancel/ID`; keys of decisions are `verdict/ID`, `step/ID/OCCURRENCE/STEP`, `over/ID`, `term`,
- * `wave/NUMBER` and `order/VM`.
+ * `wave/NUMBER`, `order/VM` and `lease/WORKER`.
  */
 export class JournalCodec {
   /** An outcome also deletes the keys of the job's other decisions. */
@@ -46,6 +47,8 @@
       case 'term': return [this._jsonRecord('term', { term: record.term, holder: record.holder, isReleased: record.isReleased, at: record.at })]
       case 'wave': return [this._jsonRecord(`wave/${record.progress.wave}`, record.progress)]
       case 'order': return [this._jsonRecord(`order/${record.virtualMachine}`, { term: record.term, at: record.at })]
+      case 'lease-bound': return [this._jsonRecord(`lease/${record.worker}`, { incarnation: record.incarnation, term: record.term, at: record.at, expiresAt: record.expiresAt })]
+      case 'lease-bound-withdrawal': return [{ key: `lease/${record.worker}`, value: TOMBSTONE }]
       case 'outcome': return this._encodeOutcome(record)
       case 'retirement': return [{ key: `over/${record.job}`, value: TOMBSTONE }]
     }
@@ -53,9 +56,8 @@
 
   /** Returns nothing for redundant deletions, unknown keys, and values that can't be parsed or belong to another key. */
   static decode ({ key, value }: KeyedRecord): Maybe<JournalRecord> {
-    const [kind, id = '', occurrence, step] = key.split('/')
-    // Only the deletion of an outcome matters: a job's other keys are deleted after its outcome, which supersedes them.
-    if (value.length === 0) return kind === 'over' ? Just({ kind: 'retirement', job: id }) : Nothing
+    const [kind = '', id = '', occurrence, step] = key.split('/')
+    if (value.length === 0) return this._decodeDeletion(kind, id)
     switch (kind) {
       case 'job': return parseJson(JobSubmission, value).toMaybe().filter(submission => submission.id === id).map(submission => ({ kind: 'submission', submission }))
       case 'over': return parseJson(OutcomeValue, value).toMaybe().map(outcome => ({ kind: 'outcome', job: id, occurrences: 0, steps: 0, ...outcome }))
@@ -67,10 +69,17 @@
       case 'term': return parseJson(TermValue, value).toMaybe().map(term => ({ kind: 'term', ...term }))
       case 'wave': return parseJson(WaveProgress, value).toMaybe().filter(progress => String(progress.wave) === id).map(progress => ({ kind: 'wave', progress }))
       case 'order': return parseJson(OrderValue, value).toMaybe().map(order => ({ kind: 'order', virtualMachine: id, ...order }))
+      case 'lease': return parseJson(LeaseBoundValue, value).toMaybe().map(bound => ({ kind: 'lease-bound', worker: id, ...bound }))
       default: return Nothing
     }
   }
 
+  /** The other deletions don't matter: a job's keys are deleted after its outcome, which supersedes them. */
+  private static _decodeDeletion (kind: string, id: string): Maybe<JournalRecord> {
+    if (kind === 'over') return Just({ kind: 'retirement', job: id })
+    return kind === 'lease' ? Just({ kind: 'lease-bound-withdrawal', worker: id }) : Nothing
+  }
+
   /** An outcome has its own key, because a delayed copy of the submission may still be appended after it. */
   private static _encodeOutcome ({ job, queue, state, occurrences, steps }: Extract<JournalRecord, { kind: 'outcome' }>): KeyedRecord[] {
     const keys = [`verdict/${job}`]
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -53,6 +53,8 @@
   unreachableSince = 0
   /** Whether a connection to the worker has been refused since the last report: nothing listens at its address, or a network device says so. */
   refusesConnections = false
+  /** Whether the journal has, or is about to have, a bound on its leases: none is extended. */
+  hasLeaseBound = false
   /** Whether another worker has named its address while it refused connections: unless it reports again, it has ended. */
   hasSuccessor = false
   /** Lower bound on the worker's clock at `lastReportAt`. */
@@ -152,6 +154,7 @@
     this.lastReportAt = 0
     this.acknowledgedSequence = 0
     this.appliedSequence = 0
+    this.hasLeaseBound = false
     this._clearFailedCalls()
   }
 
--- a/src/scheduling/lease-renewal-task.ts
+++ b/src/scheduling/lease-renewal-task.ts
@@ -9,6 +9,7 @@
 import { Task } from '../supervision/task.js'
 import type { DecisionWriterTask } from './decision-writer-task.js'
 import type { FleetWorker } from './fleet-worker.js'
+import type { LeaseBounds } from './lease-bounds.js'
 import type { LeaseDurations } from './lease-durations.js'
 import type { OwnerPace } from './owner-pace.js'
 import type { WorkerReconciler } from './worker-reconciler.js'
@@ -41,7 +42,7 @@
 
   /** @param _onFenced called when the worker has seen a higher fencing token. */
   constructor (
-    private readonly _worker: FleetWorker, private readonly _losses: WorkerLossHandler, private readonly _workers: WorkerTable, private readonly _reconciler: WorkerReconciler, private readonly _writer: DecisionWriterTask,
+    private readonly _worker: FleetWorker, private readonly _losses: WorkerLossHandler, private readonly _workers: WorkerTable, private readonly _reconciler: WorkerReconciler, private readonly _writer: DecisionWriterTask, private readonly _leaseBounds: LeaseBounds,
     private readonly _leaseDurations: LeaseDurations, private readonly _pace: OwnerPace, private readonly _onFenced: (cause: string) => void,
     private readonly _clock: Clock, random: RandomSource, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
@@ -78,29 +79,30 @@
       }
       this._recordSuccess()
       this._reconciler.applyReport(worker, response.unsafeCoerce(), requestedAt)
-      if (worker.appliedSequence !== worker.acknowledgedSequence) await this._pauseAfterCompletions(signal)
+      if (worker.hasLeaseBound) this._leaseBounds.withdraw(worker)
+      if (worker.hasLeaseBound || worker.appliedSequence !== worker.acknowledgedSequence) await this._pauseUntilWritten(signal)
     }
     this._workers.removeIfIdle(worker)
   }
 
   /**
    * Returns whether to extend the lease deadline. A worker that does not respond may still have applied an extension, so each
-   * further one would delay the moment at which its runs are known to have ended. Besides, the next owner relies on an
-   * owner without contact to the store to stop renewing leases.
+   * further one would delay the moment at which its runs are known to have ended, by this owner and, as the journal has it, by the next one.
+   * Besides, the next owner relies on an owner without contact to the store to stop renewing leases.
    */
   private _mayRenewLease (): boolean {
-    return this._consecutiveFailures === 0 && this._writer.isTermConfirmedWithin(this._leaseDurations.renewalGracePeriodMilliseconds)
+    return this._consecutiveFailures === 0 && !this._worker.hasLeaseBound && this._writer.isTermConfirmedWithin(this._leaseDurations.renewalGracePeriodMilliseconds)
   }
 
   private _longPollMilliseconds (): number {
-    const { lastReportAt, appliedSequence, acknowledgedSequence, tasks } = this._worker
+    const { lastReportAt, appliedSequence, acknowledgedSequence, hasLeaseBound, tasks } = this._worker
     // After a failed call, the next response shows at once that the worker is back, while its lease still runs.
-    if (lastReportAt === 0 || this._consecutiveFailures > 0 || appliedSequence !== acknowledgedSequence) return 0
+    if (lastReportAt === 0 || this._consecutiveFailures > 0 || hasLeaseBound || appliedSequence !== acknowledgedSequence) return 0
     return tasks.size === 0 ? IDLE_LONG_POLL_MILLISECONDS : LONG_POLL_MILLISECONDS
   }
 
-  /** Waits until the completions may be acknowledged, and so long that the next report collects those of the meantime. */
-  private async _pauseAfterCompletions (signal: AbortSignal): Promise<void> {
+  /** Waits until the completions may be acknowledged and the lease extended, and so long that the next report collects the completions of the meantime. */
+  private async _pauseUntilWritten (signal: AbortSignal): Promise<void> {
     const nextRenewalAt = this._clock.now() + this._pace.renewalIntervalMilliseconds
     await this._acknowledgeWhenWritten(signal)
     if (this._clock.now() < nextRenewalAt) await this._clock.sleepUntil(nextRenewalAt, signal).catch(() => {})
@@ -142,6 +144,7 @@
       this._workers.removeIfIdle(worker)
       return false
     }
+    this._leaseBounds.record(worker)
     await this._backoff.pause(signal)
     return true
   }
--- a/src/scheduling/takeover-task.ts
+++ b/src/scheduling/takeover-task.ts
@@ -5,7 +5,9 @@
 import type { Clock } from '../supervision/clock.js'
 import { Task } from '../supervision/task.js'
 import type { FleetSchedule } from './fleet-schedule.js'
+import type { LeaseBounds } from './lease-bounds.js'
 import type { WorkerRegistryFollowerTask } from './worker-registry-follower-task.js'
+import type { WorkerTable } from './worker-table.js'
 
 /** Waits for the worker registry to load, restores all jobs from the journal, then runs the placement task. */
 export class TakeoverTask extends Task {
@@ -13,7 +15,7 @@
   private _isDone = false
 
   constructor (
-    private readonly _jobTable: JobTable, private readonly _registry: WorkerRegistryFollowerTask, private readonly _schedule: FleetSchedule,
+    private readonly _jobTable: JobTable, private readonly _registry: WorkerRegistryFollowerTask, private readonly _workers: WorkerTable, private readonly _leaseBounds: LeaseBounds, private readonly _schedule: FleetSchedule,
     private readonly _placement: Task, private readonly _clock: Clock
   ) {
     super()
@@ -29,6 +31,7 @@
     if (signal.aborted) return
     for (const job of this._jobTable.jobs) this._schedule.jobSubmitted(job)
     this._jobTable.observer = this._schedule
+    this._leaseBounds.adopt(this._workers.all)
     this._isDone = true
     await this._placement.run(signal)
   }
--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -8,6 +8,7 @@
 import type { CrashAttributionPolicy } from './crash-attribution-policy.js'
 import type { FleetSchedule } from './fleet-schedule.js'
 import type { FleetWorker } from './fleet-worker.js'
+import type { LeaseBounds } from './lease-bounds.js'
 import type { ScheduledTask } from './scheduled-task.js'
 import type { WorkerEntry } from './worker-entry.js'
 
@@ -30,7 +31,7 @@
 
   /** @param _registryFreshAt returns the epoch milliseconds as of which the registry is known. */
   constructor (
-    private readonly _schedule: FleetSchedule, private readonly _attribution: CrashAttributionPolicy, private readonly _registryFreshAt: () => number,
+    private readonly _schedule: FleetSchedule, private readonly _leaseBounds: LeaseBounds, private readonly _attribution: CrashAttributionPolicy, private readonly _registryFreshAt: () => number,
     private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {}
 
@@ -46,6 +47,7 @@
     this._metrics.count('workers.ended', 1, isCrash ? 'unplanned' : 'planned')
     this._logLoss('worker ended', worker, cause, crashes)
     for (const task of lost) this._schedule.runLost(task, cause)
+    if (worker.hasLeaseBound) this._leaseBounds.withdraw(worker)
     for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
   }
 
@@ -55,6 +57,7 @@
     const crashes = worker.refusesConnections && this._isUnplanned(worker) ? this._attribution.attribute(worker) : []
     this._logLoss('worker lease expired', worker, 'lease expired', crashes)
     for (const task of [...worker.tasks]) this._schedule.runLost(task, 'lease expired')
+    if (worker.hasLeaseBound) this._leaseBounds.withdraw(worker)
     if (worker.hasSuccessor) for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
     else if (crashes.length > 0) this._expiredWorkers = [...this._expiredWorkers, { entry: worker.entry, forgetAt: this._clock.now() + LOSS_RETENTION_MILLISECONDS, crashes }]
   }
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -2,6 +2,7 @@
  * The workers that the owner knows, in memory.
  */
 import type { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
+import type { JobTable } from '../jobs/job-table.js'
 import type { DecisionLog } from '../observability/decision-log.js'
 import type { Clock } from '../supervision/clock.js'
 import { FleetWorker } from './fleet-worker.js'
@@ -25,11 +26,12 @@
 
   /**
    * @param _leaseDurations durations of the leases that owners request.
+   * @param _previousTerm term of the previous owner.
    * @param leasesRenewedUntil epoch milliseconds until which the previous owner may have renewed leases.
    * @param _registryFreshAt returns the epoch milliseconds as of which the registry is known.
    */
   constructor (
-    private readonly _configuration: ConfigurationFollowerTask, private readonly _leaseDurations: LeaseDurations, leasesRenewedUntil: number,
+    private readonly _configuration: ConfigurationFollowerTask, private readonly _jobTable: JobTable, private readonly _leaseDurations: LeaseDurations, private readonly _previousTerm: number, leasesRenewedUntil: number,
     private readonly _registryFreshAt: () => number, private readonly _clock: Clock, private readonly _log: DecisionLog
   ) {
     this._inheritedLeasesExpireAt = leasesRenewedUntil + this._longestLeaseMilliseconds
@@ -126,16 +128,22 @@
   findOrAddPlaceholder (task: ScheduledTask): FleetWorker {
     const known = this._workers.get(task.workerId)
     if (known) return known
-    const worker = new FleetWorker({
-      id: task.workerId, incarnation: task.incarnation, pool: '', address: '', availabilityZone: '', capacity: task.reservation, labels: [], isDraining: false
-    }, this.unknownLeasesExpireAt)
+    const worker = this._create({ id: task.workerId, incarnation: task.incarnation, pool: '', address: '', availabilityZone: '', capacity: task.reservation, labels: [], isDraining: false })
     worker.isListed = false
     this._workers.set(task.workerId, worker)
     return worker
   }
 
+  /** Creates a worker whose leases of earlier terms expire when the journal says so, or after the longest that there may be. */
+  private _create (entry: WorkerEntry): FleetWorker {
+    const bound = this._jobTable.leaseBound(entry.id, entry.incarnation, this._previousTerm)
+    const worker = new FleetWorker(entry, Math.min(this.unknownLeasesExpireAt, bound ?? Infinity))
+    worker.hasLeaseBound = bound !== null
+    return worker
+  }
+
   private _add (entry: WorkerEntry): FleetWorker {
-    const worker = new FleetWorker(entry, this.unknownLeasesExpireAt)
+    const worker = this._create(entry)
     worker.firstSeenAt = this._clock.now()
     this._workers.set(entry.id, worker)
     this._log.emit('worker listed', { worker: entry.id, pool: entry.pool, availabilityZone: entry.availabilityZone, incarnation: entry.incarnation })
--- a/tests/job-table.test.ts
+++ b/tests/job-table.test.ts
@@ -5,6 +5,7 @@
 import { expect, test } from 'vitest'
 import { JobTable } from '../src/jobs/job-table.js'
 import type { JournalRecord } from '../src/jobs/journal-record.js'
+import { FakeClock } from './support/fake-clock.js'
 import { PLAIN_STEP } from './support/plain-step.js'
 
 const submission: Extract<JournalRecord, { kind: 'submission' }> = { kind: 'submission', submission: { id: 'aaaa', queue: 'queue', team: 'team', specification: '', steps: [PLAIN_STEP], occurrences: 1, startAt: 0, intervalMilliseconds: 0, submittedAt: 0 } }
@@ -14,7 +15,7 @@
 
 /** Returns the job's state after some records. Each record's position serves as its offset; the journal counts offsets per topic. */
 function stateAfter (records: readonly JournalRecord[]): string | null {
-  const table = new JobTable()
+  const table = new JobTable(new FakeClock())
   records.forEach((record, index) => table.apply(record, index))
   return table.state('aaaa')
 }
@@ -68,7 +69,7 @@
       records.push({ kind: 'progress', job: 'aaaa', occurrence, step, tasks })
     }
     if (cancelAfter !== null) records.splice(Math.min(cancelAfter, records.length), 0, cancellationDecision)
-    const table = new JobTable()
+    const table = new JobTable(new FakeClock())
     table.apply({ ...submission, submission: { ...submission.submission, steps, occurrences: 3 } }, 0)
     records.forEach((record, offset) => {
       table.apply(record, offset)
@@ -85,7 +86,7 @@
   ['an occurrence that the job does not have', { occurrence: 1, step: 0, tasks: [{ ...ROW, phase: 'failed' as const }] }],
   ['an occurrence that is no number', { occurrence: NaN, step: 0, tasks: [{ ...ROW, phase: 'failed' as const }] }]
 ])('a progress record with %s is ignored', (_, record) => {
-  const table = new JobTable()
+  const table = new JobTable(new FakeClock())
   const early: JournalRecord = { kind: 'progress', job: 'aaaa', ...record }
   table.apply(early, 0)
   expect(table.apply(submission, 1)).toBe(false)
