Read back each due time that is admitted

Cause: the due time becomes negative in fleet time when the time of day is ahead of the fleet's, and the schema of stored submissions refuses negative due times. Change: any due time is decoded; records that were stored before are read as well. 0 keeps its meaning, and a converted time of exactly 0 becomes 1.

--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -49,7 +49,8 @@
     if (!this._isViewCurrent) return this._respond('submit', id, this._retryLater('not-run'))
     const team = this._configuration.teamOfKey(request.key)?.name ?? ''
     const receivedAt = this._clock.now()
-    const startAt = job.startAt === 0 ? 0 : this._fleetTime.fromTimeOfDay(job.startAt)
+    // 0 stands for a job without a due time.
+    const startAt = job.startAt === 0 ? 0 : this._fleetTime.fromTimeOfDay(job.startAt) || 1
     const submission = { ...job, id, queue: queue.name, team, startAt, submittedAt: this._fleetTime.fromLocal(receivedAt) }
     const record = { kind: 'submission', submission } as const
     if (this._submissionJournal.sizeOf(record) > this._submissionJournal.sizeLimits.record || this._admission.isTooLarge(job)) return this._respond('submit', id, { kind: 'too-large' })
--- a/src/jobs/job-submission.ts
+++ b/src/jobs/job-submission.ts
@@ -16,8 +16,8 @@
   specification: z.string(),
   steps: listOf(StepDefinition).refine(steps => steps.length > 0, 'must not be empty'),
   occurrences: z.number().int().min(1).max(1_000),
-  /** Fleet time at which occurrence 0 is due; 0 for immediately. */
-  startAt: z.number().min(0),
+  /** Fleet time at which occurrence 0 is due, negative for a time of day before its origin; 0 for immediately. */
+  startAt: z.number(),
   /** Time between the due times of two consecutive occurrences, in milliseconds. */
   intervalMilliseconds: z.number().min(0),
   /** Fleet time at which the entry process accepted it. */
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -60,6 +60,22 @@
   }), { seed: 3 })
 })
 
+test('every job that is admitted can be read back from the journal as it was written, whatever its figures are', () => {
+  const amount = fc.constantFrom(0, 1, 2 ** 31, Number.MAX_SAFE_INTEGER)
+  const milliseconds = fc.constantFrom(0, 1, 0.5, 1e12, Number.MAX_SAFE_INTEGER, Number.MAX_VALUE)
+  const step = fc.record({
+    count: fc.constantFrom(1, 2_000), cpu: amount, mem_mb: amount, gpus: amount, estimate_ms: fc.constantFrom(0, 0.5, 86_400_000), constraints: fc.string(), image: fc.string({ unit: 'binary' }), anti_affinity: amount, may_miss: amount, target_ms: milliseconds, daemon: fc.boolean()
+  })
+  const job = fc.record({ spec: fc.string({ unit: 'binary' }), steps: fc.array(step, { minLength: 1, maxLength: 5 }), repeat_count: fc.constantFrom(0, 1, 2), start_at_ms: milliseconds, interval_ms: milliseconds })
+  fc.assert(fc.property(job, fc.constantFrom(-1e13, -5_000, 0, 1, 1e13), (document, clockDifference) => {
+    const definition = WireJob.parse(JSON.parse(JSON.stringify(document)))
+    const startAt = definition.startAt === 0 ? 0 : definition.startAt + clockDifference
+    const record = { kind: 'submission' as const, submission: { ...definition, id: '00000000000000aa', queue: 'q', team: 't', startAt, submittedAt: clockDifference } }
+    const [encoded] = JournalCodec.encode(record)
+    expect(encoded ? JournalCodec.decode(encoded).extract() : null).toEqual(record)
+  }), { seed: 5 })
+})
+
 test('a worker entry with a null or invalid field is unreadable', () => {
   const entry = WORKER_ENTRY
   const decodedKind = (change: object): string | undefined => WorkerCodec.decode({ key: 'i-1', value: Buffer.from(JSON.stringify({ ...entry, ...change })) }).extract()?.kind
