--- a/src/capacity/pool-state-collector.ts
+++ b/src/capacity/pool-state-collector.ts
@@ -24,7 +24,8 @@
    * @param moves moves in progress, by VM.
    */
   collect (moves: ReadonlyMap<string, { readonly to: string }>, now: number): PoolState[] {
-    const demands = this._demands(now)
+    const largestMillicores = Math.max(0, ...[...this._inventory.virtualMachines].map(({ capacity }) => capacity.millicores))
+    const demands = this._demands(largestMillicores, now)
     const sizes = this._capacity.count(moves, now)
     const pools = this._configuration.configuration?.pools ?? []
     return pools.filter(({ isStandby }) => !isStandby).map(({ name }): PoolState => {
@@ -45,15 +46,18 @@
     })
   }
 
-  private _demands (now: number): Map<string, PoolDemand> {
+  /** Sums up the demand of the tasks that fit on the largest VM: no number of VMs helps the others. */
+  private _demands (largestMillicores: number, now: number): Map<string, PoolDemand> {
     const demands = new Map<string, PoolDemand>()
     for (const job of this._jobs.active) {
       const pool = this._configuration.queue(job.view.submission.queue)?.pool
       if (pool === undefined) continue
       const demand = demands.get(pool) ?? new PoolDemand()
       demands.set(pool, demand)
-      for (const step of job.steps) if (step.isOpen && !step.isDone && step.dueAt <= now && step.isUnblocked) this._addStep(demand, step)
-      if (!job.isLasting && job.view.submission.occurrences === 1) demand.addArrival(this._estimatedWork(job), now - job.submittedAt)
+      for (const step of job.steps) {
+        if (step.isOpen && !step.isDone && step.dueAt <= now && step.isUnblocked && step.definition.demand.millicores <= largestMillicores) this._addStep(demand, step)
+      }
+      if (!job.isLasting && job.view.submission.occurrences === 1) demand.addArrival(this._estimatedWork(job, largestMillicores), now - job.submittedAt)
     }
     return demands
   }
@@ -71,8 +75,9 @@
   }
 
   /** A job's estimated work, in millicores times milliseconds. */
-  private _estimatedWork (job: ScheduledJob): number {
-    return job.view.submission.steps.reduce((sum, { count, demand, estimateMilliseconds, isFiller }) => sum + (isFiller ? 0 : count * demand.millicores * estimateMilliseconds), 0)
+  private _estimatedWork (job: ScheduledJob, largestMillicores: number): number {
+    return job.view.submission.steps.filter(({ demand, isFiller }) => !isFiller && demand.millicores <= largestMillicores)
+      .reduce((sum, { count, demand, estimateMilliseconds }) => sum + count * demand.millicores * estimateMilliseconds, 0)
   }
 
   private _workersWithLastingTasks (pool: string): number {
--- a/src/jobs/step-definition.ts
+++ b/src/jobs/step-definition.ts
@@ -5,14 +5,17 @@
 import { listOf } from '../schemas/list-of.js'
 import { Resources } from './resources.js'
 
+/** Longest estimate that counts, in milliseconds. Larger ones would make sums of work infinite. */
+const MAXIMUM_ESTIMATE_MILLISECONDS = 86_400_000
+
 /** Step as defined by the caller. Zero, false and empty mean "not requested". */
 export const StepDefinition = z.object({
   /** Number of tasks. */
   count: z.number().int().min(1).max(10_000),
   /** Resources that each task uses. */
   demand: Resources,
-  /** The caller's rough estimate of a task's duration, in milliseconds. */
-  estimateMilliseconds: z.number().min(0),
+  /** The caller's rough estimate of a task's duration, in milliseconds, up to the longest that counts. */
+  estimateMilliseconds: z.number().min(0).transform(estimate => Math.min(estimate, MAXIMUM_ESTIMATE_MILLISECONDS)),
   /** Indexes of earlier steps whose tasks must all be done first. */
   after: listOf(z.number().int().min(0)),
   /** Whether the tasks write checkpoints from which a later run resumes. */
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -126,7 +126,7 @@
       schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
-    const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, placement, clock)
+    const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, placement, clock, log)
 
     const owner = this._createSupervisor('owner')
     // Children stop in reverse order: placement before the writer, and the writer before the orders that follow from its last decisions.
--- a/src/scheduling/takeover-task.ts
+++ b/src/scheduling/takeover-task.ts
@@ -2,6 +2,8 @@
  * Recovery of the schedule by a new owner.
  */
 import type { JobTable } from '../jobs/job-table.js'
+import type { JobView } from '../jobs/job-view.js'
+import type { DecisionLog } from '../observability/decision-log.js'
 import type { Clock } from '../supervision/clock.js'
 import { Task } from '../supervision/task.js'
 import type { FleetSchedule } from './fleet-schedule.js'
@@ -16,7 +18,7 @@
 
   constructor (
     private readonly _jobTable: JobTable, private readonly _registry: WorkerRegistryFollowerTask, private readonly _workers: WorkerTable, private readonly _leaseBounds: LeaseBounds, private readonly _schedule: FleetSchedule,
-    private readonly _placement: Task, private readonly _clock: Clock
+    private readonly _placement: Task, private readonly _clock: Clock, private readonly _log: DecisionLog
   ) {
     super()
   }
@@ -29,10 +31,19 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!this._registry.isLoaded && !signal.aborted) await this._registry.changed.wait(this._clock, Infinity, signal)
     if (signal.aborted) return
-    for (const job of this._jobTable.jobs) this._schedule.jobSubmitted(job)
+    for (const job of this._jobTable.jobs) this._restore(job)
     this._jobTable.observer = this._schedule
     this._leaseBounds.adopt(this._workers.all)
     this._isDone = true
     await this._placement.run(signal)
   }
+
+  /** Restores a job. One that can't be restored doesn't keep the others from running: each next owner would read the same job. */
+  private _restore (job: JobView): void {
+    try {
+      this._schedule.jobSubmitted(job)
+    } catch (error) {
+      this._log.emit('job not restored', { job: job.submission.id, cause: (error as Error).message })
+    }
+  }
 }
--- a/tests/untrusted-input.test.ts
+++ b/tests/untrusted-input.test.ts
@@ -99,3 +99,35 @@
   expect(fleet.starts('aaaa.0.0.0')).toEqual([])
   expect([...fleet.nodes.values()].flatMap(({ log }) => log.fieldsOf('term lost'))).toEqual([])
 })
+
+// Guards against a job that is accepted and then unknown, because its due time can't be read back.
+test('a job that was due in 1970 runs at once', async () => {
+  const fleet = await EmulatedFleet.create(2, ['one', 'two'])
+  // The time of day is ahead of the fleet's, so that the due time is before the origin of fleet time.
+  for (const { clock } of fleet.nodes.values()) clock.timeOfDayError = 5_000
+  await fleet.clock.advance(40_000)
+  expect(await fleet.submit('one', 'aaaa', [{}], { occurrences: 2, startAt: 1, intervalMilliseconds: 5 })).toEqual({ kind: 'accepted' })
+  await fleet.clock.advance(4_000)
+  expect(await fleet.state('two', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+  expect(['aaaa.0.0.0', 'aaaa.1.0.0'].map(task => fleet.starts(task).length)).toEqual([1, 1])
+})
+
+test.each([
+  ['a task larger than any VM', { demand: { millicores: 10 ** 12, memoryMegabytes: 1, accelerators: 0 } }],
+  ['an endless estimate', { estimateMilliseconds: Number.MAX_VALUE }]
+])('jobs with %s do not draw all VMs into their pool, nor keep it from growing', { timeout: 60_000 }, async (_, step) => {
+  const fleet = new EmulatedFleet(1)
+  fleet.emulator.addVirtualMachine('work', 'a')
+  for (let count = 0; count < 6; count++) fleet.emulator.addVirtualMachine('standby', 'a')
+  fleet.configure()
+  fleet.start('one')
+  await fleet.clock.advance(3_000)
+  const sizeOfPool = (): number => [...fleet.emulator.virtualMachines.byId.values()].filter(({ pool }) => pool === 'work').length
+  if ('demand' in step) for (let index = 0; index < 4; index++) await fleet.submit('one', `aaaa${index}`, [step])
+  await fleet.clock.advance(3_000)
+  expect(sizeOfPool()).toBeLessThanOrEqual(2)
+  for (let index = 0; index < 10; index++) await fleet.submit('one', `bbbb${index}`, [{ count: 8, ...('demand' in step ? {} : step) }])
+  // Before the jobs have left the window in which arrivals count.
+  await fleet.clock.advance(500)
+  expect(sizeOfPool()).toBeGreaterThan(3)
+})
