--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -9,6 +9,7 @@
 import { DeadlyJobs } from './faults/deadly-jobs.js'
 import { DelayedConnections } from './faults/delayed-connections.js'
 import { FleetKill } from './faults/fleet-kill.js'
+import { ForeignEntries } from './faults/foreign-entries.js'
 import { HistoryCompaction } from './faults/history-compaction.js'
 import { KeyWithdrawal } from './faults/key-withdrawal.js'
 import { LateStarts } from './faults/late-starts.js'
@@ -19,6 +20,7 @@
 import { ProcessPause } from './faults/process-pause.js'
 import { ResetConnections } from './faults/reset-connections.js'
 import { SettingsReload } from './faults/settings-reload.js'
+import { ShrinkingCapacity } from './faults/shrinking-capacity.js'
 import { SlowStore } from './faults/slow-store.js'
 import { StoreDisconnection } from './faults/store-disconnection.js'
 import { StoreRefusal } from './faults/store-refusal.js'
@@ -82,7 +84,7 @@
       new ProcessKill(), new FleetKill(), new ProcessPause(), new PlannedRestart(), new PlannedRestart(), new SettingsReload(),
       new StoreRefusal(), new SlowStore(), new LostAppendResponses(), new HistoryCompaction(), new StoreDisconnection(), new WorkerDisconnection(),
       new DelayedConnections(), new ResetConnections(), new BlackholedConnections(), new WorkerCrash(), new DeadlyJobs(), new LateStarts(),
-      new MaintenanceWave(), new ZoneEvacuation(), new KeyWithdrawal()
+      new MaintenanceWave(), new ZoneEvacuation(), new KeyWithdrawal(), new ForeignEntries(), new ShrinkingCapacity()
     ]
   }
 }
