Store the queue with each submission

Cause: the pool, the attempts and the priority of a job were looked up in the configuration; removed queues were kept in each process's memory only. Change: a submission carries its queue as it was accepted, for when the configuration has none of that name. Older records without it still decode.

--- a/src/capacity/pool-state-collector.ts
+++ b/src/capacity/pool-state-collector.ts
@@ -50,7 +50,7 @@
   private _demands (largestMillicores: number, now: number): Map<string, PoolDemand> {
     const demands = new Map<string, PoolDemand>()
     for (const job of this._jobs.active) {
-      const pool = this._configuration.queue(job.view.submission.queue)?.pool
+      const pool = this._configuration.queueOf(job.view.submission)?.pool
       if (pool === undefined) continue
       const demand = demands.get(pool) ?? new PoolDemand()
       demands.set(pool, demand)
--- a/src/configuration/configuration-follower-task.ts
+++ b/src/configuration/configuration-follower-task.ts
@@ -3,6 +3,7 @@
  */
 import { FeedFollowerTask } from '../feeds/feed-follower-task.js'
 import type { FeedChange } from '../feeds/feed-change.js'
+import type { JobSubmission } from '../jobs/job-submission.js'
 import type { FleetConfiguration } from './fleet-configuration.js'
 import type { JobQueue } from './job-queue.js'
 import type { JobTeam } from './job-team.js'
@@ -52,9 +53,9 @@
     return this._queueIndex?.find(host, path) ?? null
   }
 
-  /** Returns a queue by name, also one that was removed since this process has started, or null. */
-  queue (name: string): JobQueue | null {
-    return this._queues.get(name) ?? null
+  /** Returns the queue of a job: as configured, also if it was removed since this process has started, or as it was when the job was accepted; null for neither. */
+  queueOf ({ queue, queueAtSubmission }: Pick<JobSubmission, 'queue' | 'queueAtSubmission'>): JobQueue | null {
+    return this._queues.get(queue) ?? queueAtSubmission ?? null
   }
 
   /** Returns a pool by name, or null. */
--- a/src/jobs/job-submission.ts
+++ b/src/jobs/job-submission.ts
@@ -2,6 +2,7 @@
  * Submission of a job, as stored in the journal.
  */
 import * as z from 'zod'
+import { JobQueue } from '../configuration/job-queue.js'
 import { listOf } from '../schemas/list-of.js'
 import { StepDefinition } from './step-definition.js'
 
@@ -10,6 +11,8 @@
   /** Chosen by the caller; a submission with a known ID is the same job. */
   id: z.string().min(1).max(64),
   queue: z.string(),
+  /** The queue as it was when the job was accepted: what the job needs to be run to its end if operators remove the queue. Records of older versions have none. */
+  queueAtSubmission: JobQueue.optional(),
   /** Team of the caller's key; empty without a team's key on a queue that is open to all. */
   team: z.string(),
   /** Opaque instructions for the tasks. */
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -197,7 +197,7 @@
     // Lasting tasks may fail any number of times.
     if (isLasting) return false
     for (const member of isGang ? task.step.tasks : [task]) member.recordFailure(task.run)
-    const queue = this._configuration.queue(task.step.job.view.submission.queue)
+    const queue = this._configuration.queueOf(task.step.job.view.submission)
     return queue !== null && task.failedRuns.length >= queue.maximumAttempts
   }
 
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -88,7 +88,7 @@
 
   /** Places waiting tasks of a step, either those that are to be isolated or the others; returns their number. */
   private _placeStep (step: ScheduledStep, { now, workersByPool, unplaceableByPool, isolation }: PlacementRound, isIsolated: boolean): number {
-    const queue = this._configuration.queue(step.job.view.submission.queue)
+    const queue = this._configuration.queueOf(step.job.view.submission)
     const workers = workersByPool.get(queue?.pool ?? '')
     if (!queue || !workers) return 0
     const unplaceable = unplaceableByPool.get(queue.pool) ?? []
--- a/src/scheduling/urgency-placement-policy.ts
+++ b/src/scheduling/urgency-placement-policy.ts
@@ -70,7 +70,7 @@
   }
 
   private _rankStep (step: ScheduledStep, usageLevel: number, now: number): RankedStep {
-    const queue = this._configuration.queue(step.job.view.submission.queue)
+    const queue = this._configuration.queueOf(step.job.view.submission)
     if (!queue) return { step, isLasting: false, priority: Infinity, isLate: true, usageLevel, work: Infinity }
     const latestStartAt = step.job.targetCompletionAt(step.occurrence, queue) - step.job.criticalPathMilliseconds(step)
     return { step, isLasting: step.definition.isLasting, priority: queue.priority, isLate: latestStartAt < now, usageLevel, work: step.job.remainingWork(step) }
