Store the cancellation of an unknown job before answering that there is none

Cause: a cancellation that found no submission wrote nothing. Change: it is stored first, and cancels the submission when that arrives; it is removed after the time for which states are kept. If it can't be stored the caller gets 503 or 504, no longer a 410 that may turn out wrong.

--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -72,7 +72,10 @@
     return this._respond('state', id, found === 'there' ? { kind: 'state', state: 'queued' } : { kind: 'no-job' })
   }
 
-  /** Requests a job's cancellation; responds when the journal has the request. */
+  /**
+   * Requests a job's cancellation; responds when the journal has the request. A job that isn't there is cancelled as well, because its submission may still
+   * be executed by the store: after `no-job` it must not run.
+   */
   async cancel (request: JobRequest, id: string): Promise<JobResponse> {
     const queue = this._authorize(request)
     if ('kind' in queue) return this._respond('cancel', id, queue)
@@ -80,9 +83,8 @@
     if (state && state !== 'queued' && state !== 'running') return this._respond('cancel', id, { kind: 'cancelled' })
     const found = state ? 'there' : await this._lookUp(id)
     if (found === 'unsure') return this._respond('cancel', id, this._retryLater('unsure'))
-    if (found === 'missing') return this._respond('cancel', id, { kind: 'no-job' })
     const result = await this._writer.write({ kind: 'cancellation', job: id }, request.deadline - RESPONSE_MARGIN_MILLISECONDS)
-    return this._respond('cancel', id, this._writeResponse(result, { kind: 'cancelled' }))
+    return this._respond('cancel', id, this._writeResponse(result, { kind: found === 'missing' ? 'no-job' : 'cancelled' }))
   }
 
   /** Responds with the number of accepted jobs of a queue of which nothing has started. */
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -76,6 +76,11 @@
   /** Returns the state of a job, or null if there is no such job. */
   state (id: string): JobState | null {
     return this._outcomes.get(id) ?? this._jobs.get(id)?.state ?? null
+  /** IDs of cancelled jobs whose submission hasn't been read; it may not exist. */
+  get earlyCancellations (): ReadonlySet<string> {
+    return this._earlyCancellations
+  }
+
   }
 
   /** Returns the progress of a wave, or null if nothing is recorded of it. */
@@ -132,7 +137,9 @@
       case 'cancellation':
         this._applyCancellation(record.job)
         return true
-      case 'disposal': return true
+      case 'disposal':
+        this._earlyCancellations.delete(record.job)
+        return true
       case 'outcome':
         this._remove(record.job)
         this._outcomes.set(record.job, record.state)
--- a/src/jobs/journal-record.ts
+++ b/src/jobs/journal-record.ts
@@ -13,7 +13,7 @@
 export const JournalRecord = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('submission'), submission: JobSubmission }),
   z.object({ kind: z.literal('cancellation'), job: z.string() }),
-  /** Removes the job's submission and cancellation, which its outcome replaces. */
+  /** Removes the job's submission and cancellation, which its outcome replaces, or the cancellation of a job that was never submitted. */
   z.object({ kind: z.literal('disposal'), job: z.string() }),
   /** The owner's cancellation decision: nothing more of the job starts. */
   z.object({ kind: z.literal('verdict'), job: z.string() }),
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -83,6 +83,7 @@
     return kind === 'lease' ? Just({ kind: 'lease-bound-withdrawal', worker: id }) : Nothing
   }
 
+    if (kind === 'cancel') return Just({ kind: 'disposal', job: id })
   private static _termValue ({ term, holder, process, isReleased, at, othersRenewUntil }: Extract<JournalRecord, { kind: 'term' }>): z.infer<typeof TermValue> {
     return { term, holder, process, isReleased, at, othersRenewUntil }
   }
--- a/src/scheduling/outcome-retention-task.ts
+++ b/src/scheduling/outcome-retention-task.ts
@@ -1,5 +1,5 @@
 /**
- * Retention of finished jobs: only their state is kept, for a limited time.
+ * Retention of finished jobs, of which only the state is kept, and of cancellations without a job, for a limited time.
  */
 import type { JobTable } from '../jobs/job-table.js'
 import type { SubmissionWriterTask } from '../jobs/submission-writer-task.js'
@@ -14,11 +14,13 @@
 /** Timeout for removing a finished job's submission; a submission that remains is removed along with the outcome. */
 const DISPOSAL_TIMEOUT_MILLISECONDS = 5_000
 
-/** Replaces the records of finished jobs with their outcome, and removes the outcome after the retention time. */
+/** Replaces the records of finished jobs with their outcome, and removes the outcome, or a cancellation without a job, after the retention time. */
 export class OutcomeRetentionTask extends Task {
   override readonly name = 'outcomes'
   /** Epoch milliseconds since which each outcome, by job ID, is retained; Infinity while it is being removed. */
   private readonly _retainedSince = new Map<string, number>()
+  /** Epoch milliseconds since which each cancellation without a submission, by job ID, is retained. */
+  private readonly _cancelledSince = new Map<string, number>()
 
   /**
    * @param _submissionWriter writes to the topic of the submissions.
@@ -36,6 +38,7 @@
       const now = this._clock.now()
       this._writeOutcomes()
       await this._expireOutcomes(now)
+      await this._expireEarlyCancellations(now)
       await this._clock.sleepUntil(now + POLL_INTERVAL_MILLISECONDS, signal).catch(() => {})
     }
   }
@@ -58,6 +61,15 @@
     await Promise.all(expired.map(job => this._removeOutcome(job)))
   }
 
+  /** Removes the cancellations of jobs that were never submitted, once their submission can't arrive any more. */
+  private async _expireEarlyCancellations (now: number): Promise<void> {
+    const { earlyCancellations } = this._jobTable
+    for (const job of this._cancelledSince.keys()) if (!earlyCancellations.has(job)) this._cancelledSince.delete(job)
+    for (const job of earlyCancellations) if (!this._cancelledSince.has(job)) this._cancelledSince.set(job, now)
+    const expired = [...this._cancelledSince].filter(([, since]) => since <= now - this._retentionMilliseconds).map(([job]) => job)
+    await Promise.all(expired.map(job => this._removeSubmission(job)))
+  }
+
   /** Removes the submission again before the outcome: a late duplicate of it would be taken for a new job once the outcome is gone. */
   private async _removeOutcome (job: string): Promise<void> {
     if (!await this._removeSubmission(job)) return
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -37,6 +37,8 @@
   appendResponseMilliseconds = 0
   /** Number of appends, from the next one on, that are executed without a response. */
   lostAppendResponses = 0
+  /** Delay of the appends of a caller, which are executed late and get no response, in milliseconds. */
+  readonly lateAppends = new Map<string, number>()
   /** Latency of a start on a worker, in milliseconds. */
   startLatencyMilliseconds = 0
   /** Number of starts, from the next one on, that get no response and are executed late. */
@@ -72,6 +74,11 @@
     if (this.disconnectedCallers.has(caller)) return null
     if (this.unreadableTopics.has(topic) && call !== 'log-append') return { status: 503, body: {} }
     if (this.refusalStatus !== 0) return { status: this.refusalStatus, body: {} }
+    const lateMilliseconds = call === 'log-append' ? this.lateAppends.get(caller) : undefined
+    if (lateMilliseconds !== undefined) {
+      clock.sleepUntil(clock.now() + lateMilliseconds).then(serve).catch(() => {})
+      return null
+    }
     const delays = call === 'log-newest' ? this.newestReadDelays : call === 'log-append' ? this.appendDelays : null
     await clock.sleepUntil(clock.now() + this.storeLatencyMilliseconds + (delays?.get(topic) ?? 0))
     const response = await serve()
