--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -14,6 +14,9 @@
 /** Limit on cancellations that are kept until their submission has been read. */
 const MAXIMUM_EARLY_CANCELLATIONS = 10_000
 
+/** Time after which a task that has been placed is taken to have begun, in milliseconds: by then its worker has accepted or refused it, and counts of pending jobs may be 2 s old. */
+const START_MILLISECONDS = 1_000
+
 /** Kinds of records that any process writes, not only owners. */
 const ANY_PROCESS_KINDS: ReadonlySet<JournalRecord['kind']> = new Set(['submission', 'cancellation', 'disposal', 'holder-end'])
 
@@ -38,8 +41,8 @@
   readonly backlog = new JobBacklog()
   private readonly _jobs = new Map<string, JobView>()
   private readonly _outcomes = new Map<string, JobState>()
-  /** IDs of the jobs of which nothing has started, by queue. */
-  private readonly _pending = new Map<string, Set<string>>()
+  /** IDs of the jobs of which nothing has started, by queue, with the epoch milliseconds from which a start that is on its way counts; Infinity for none. */
+  private readonly _pending = new Map<string, Map<string, number>>()
   private readonly _earlyCancellations = new Set<string>()
   /** Decisions on jobs whose submission hasn't been read yet, by job: the two are in topics without a common order. */
   private readonly _earlyDecisions = new Map<string, Array<(job: JobView) => boolean>>()
@@ -115,7 +118,8 @@
 
   /** Returns the number of accepted jobs of a queue of which nothing has started. */
   countPending (queue: string): number {
-    return this._pending.get(queue)?.size ?? 0
+    const now = this._clock.now()
+    return [...this._pending.get(queue)?.values() ?? []].filter(startedAt => startedAt > now).length
   }
 
   /** Number of records from owners so far; it increases while there is a live owner. */
@@ -235,11 +239,14 @@
 
   private _updatePending (job: JobView): void {
     const { id, queue } = job.submission
-    if (job.state !== 'queued') {
+    const { state, hasBegun } = job
+    if (hasBegun || (state !== 'queued' && state !== 'running')) {
       this._pending.get(queue)?.delete(id)
       return
     }
-    const ids = this._pending.get(queue) ?? new Set()
-    this._pending.set(queue, ids.add(id))
+    const startedAtById = this._pending.get(queue) ?? new Map<string, number>()
+    this._pending.set(queue, startedAtById)
+    if (state === 'queued') startedAtById.set(id, Infinity)
+    else if (startedAtById.get(id) === Infinity) startedAtById.set(id, this._clock.now() + START_MILLISECONDS)
   }
 }
--- a/src/jobs/job-view.ts
+++ b/src/jobs/job-view.ts
@@ -24,7 +24,7 @@
   /** Number of occurrences up to the last one with progress. */
   private _recordedOccurrences = 0
   private _hasFailed = false
-  private _hasStarted = false
+  private _hasBegun = false
   /** Offset of the owner's cancellation decision; Infinity if there is none. */
   private _cancellationOffset = Infinity
   private _isCancellationRequested = false
@@ -46,12 +46,17 @@
     return this._hasFailed
   }
 
+  /** Whether a run has begun, for all that the journal says; a task that is placed may be refused by its worker yet. */
+  get hasBegun (): boolean {
+    return this._hasBegun
+  }
+
   /** State as reported to callers. */
   get state (): JobState {
     if (this.isCancelled) return 'cancelled'
     if (this._hasFailed) return 'failed'
     if (this._completionOffset < Infinity) return 'completed'
-    return this._hasStarted ? 'running' : 'queued'
+    return this._hasBegun || this._hasPlacedTasks ? 'running' : 'queued'
   }
 
   /** Number of occurrences of which all steps are done. */
@@ -111,11 +116,17 @@
     this._steps.set(occurrence, views.set(step, { offset, tasks: isDone ? null : tasks }))
     this._recordedOccurrences = Math.max(this._recordedOccurrences, occurrence + 1)
     this._hasFailed ||= tasks.some(({ phase }) => phase === 'failed')
-    this._hasStarted ||= tasks.some(({ run }) => run > 0)
+    this._hasBegun ||= tasks.some(({ phase, hasBegun }) => phase !== 'placed' && hasBegun)
     if (isDone) this._closeIfDone(occurrence, views)
     return true
   }
 
+  /** Whether a run is being started, or has been. */
+  private get _hasPlacedTasks (): boolean {
+    for (const views of this._steps.values()) for (const { tasks } of views.values()) if (tasks?.some(({ phase }) => phase === 'placed')) return true
+    return false
+  }
+
   /** Offset of the record that completed the job, or Infinity. */
   private get _completionOffset (): number {
     return this._doneOccurrences.size < this.submission.occurrences ? Infinity : this._doneOffset
--- a/src/jobs/task-progress.ts
+++ b/src/jobs/task-progress.ts
@@ -10,6 +10,8 @@
   phase: z.enum(['waiting', 'placed', 'done', 'failed']),
   /** Number of the newest run; 0 before the first. */
   run: z.number().int().min(0),
+  /** Whether a run may have begun; not if every start so far was refused. Always true while the task is placed. */
+  hasBegun: z.boolean(),
   /** Numbers of the failed runs; not a count, because a later owner may receive the same run completion again. */
   failedRuns: z.array(z.number().int()),
   /** Worker of the newest run; empty unless placed. */
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -17,10 +17,13 @@
 /** Roles of a run in a crash; the index of a role is its number in a row. */
 const CRASH_ROLES = ['bystander', 'suspect', 'culprit', 'unconfirmed'] as const
 
-/** Phase, run, failed runs, worker, incarnation, checkpoint, and crashes if there are any. A compact tuple, because every change rewrites all rows of a step. */
+/**
+ * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, and a 1 if the task waits and every start so far was refused. A compact tuple, because every change
+ * rewrites all rows of a step.
+ */
 const TaskRow = z.tuple([
   z.number().int().min(0).max(PHASES.length - 1), z.number(), z.array(z.number()), z.string(), z.number(), z.string(),
-  z.array(z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1)])).optional()
+  z.array(z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1)])).optional(), z.literal(1).optional()
 ])
 const TaskRows = listOf(TaskRow)
 const TermValue = z.object({ term: z.number(), holder: z.string(), process: z.string().optional(), isReleased: z.boolean(), at: z.number(), othersRenewUntil: z.number().optional() })
@@ -97,16 +100,19 @@
     return [this._jsonRecord(`over/${job}`, { queue, state }), ...keys.map(key => ({ key, value: TOMBSTONE }))]
   }
 
-  private static _encodeTask ({ phase, run, failedRuns, worker, incarnation, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
+  private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
     const row: z.infer<typeof TaskRow> = [PHASES.indexOf(phase), run, failedRuns, worker, incarnation, checkpoint]
-    if (crashes.length > 0) row[6] = crashes.map(crash => [crash.run, CRASH_ROLES.indexOf(crash.role)])
+    const isRefused = run > 0 && !hasBegun
+    if (crashes.length > 0 || isRefused) row[6] = crashes.map(crash => [crash.run, CRASH_ROLES.indexOf(crash.role)])
+    if (isRefused) row[7] = 1
     return row
   }
 
-  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint, crashes = []]: z.infer<typeof TaskRow>): TaskProgress {
+  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint, crashes = [], isRefused]: z.infer<typeof TaskRow>): TaskProgress {
     return {
       phase: PHASES[phase] ?? 'waiting',
       run,
+      hasBegun: run > 0 && isRefused === undefined,
       failedRuns,
       worker,
       incarnation,
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -71,6 +71,7 @@
       this.requeue(task)
       return
     }
+    task.hasBegun = true
     if (checkpoint !== '') task.checkpoint = checkpoint
     const { isGang, isLasting } = task.step.definition
     if (result === 'done' && !isLasting) {
@@ -84,6 +85,7 @@
   /** Applies the completion of a run that is no longer the task's current one, for example because it was treated as lost. Its result still counts. */
   abandonedRunCompleted (task: ScheduledTask, completion: RunCompletion): void {
     if (task.phase === 'done' || task.step.definition.isLasting || completion.run > task.run) return
+    task.hasBegun = true
     this._log.emit('late run completion', { task: task.name, run: completion.run, how: completion.result, present: task.run, phase: task.phase })
     if (completion.result === 'failed') {
       task.recordFailure(completion.run)
@@ -101,6 +103,7 @@
     this._log.emit('run lost', { task: task.name, run: task.run, worker: task.workerId, cause })
     this.requeue(task)
   }
+    task.hasBegun = true
 
   /** Records a crash of the worker under a run of a task. */
   recordCrash (task: ScheduledTask, crash: RunCrash): void {
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -22,6 +22,8 @@
 export class ScheduledTask {
   phase: TaskProgress['phase']
   run: number
+  /** Whether a run may have begun; not if every start so far was refused. */
+  hasBegun: boolean
   failedRuns: readonly number[]
   checkpoint: string
   readonly crashes: CrashHistory
@@ -51,6 +53,7 @@
   constructor (readonly step: ScheduledStep, readonly index: number, progress: TaskProgress | null) {
     this.phase = progress?.phase ?? 'waiting'
     this.run = progress?.run ?? 0
+    this.hasBegun = progress?.hasBegun ?? false
     this.failedRuns = progress?.failedRuns ?? []
     this.checkpoint = progress?.checkpoint ?? ''
     this.workerId = progress?.worker ?? ''
@@ -106,6 +109,8 @@
     return {
       phase: this.phase,
       run: this.run,
+      // The start of a placed task may be on its way.
+      hasBegun: this.run > 0 && (this.phase !== 'waiting' || this.hasBegun),
       failedRuns: [...this.failedRuns],
       worker: isPlaced ? this.workerId : '',
       incarnation: isPlaced ? this.incarnation : 0,
--- a/src/scheduling/start-outcome-handler.ts
+++ b/src/scheduling/start-outcome-handler.ts
@@ -24,6 +24,7 @@
   /** Records that the worker accepted the start order. */
   startAccepted (task: ScheduledTask, run: number): void {
     if (task.run !== run || task.worker === null) return
+    task.hasBegun = true
     if (task.runState === 'starting') task.runState = 'running'
     task.confirmedAt = this._clock.now()
   }
@@ -49,6 +50,7 @@
     if (task.run !== run || task.worker === null) return
     this._metrics.count('runs.unsettled')
     this._log.emit('start unsettled', { task: task.name, run, worker: task.workerId })
+    task.hasBegun = true
     task.runState = 'settling'
     if (task.step.definition.isGang) this._schedule.stopOtherGangMembers(task)
   }
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -100,6 +100,7 @@
   }
 
   private _confirmRun (task: ScheduledTask, activeRun: ActiveRun): void {
+    task.hasBegun = true
     if (task.runState === 'inherited' || task.runState === 'starting') task.runState = 'running'
     task.confirmedAt = Math.min(task.confirmedAt, this._clock.now())
     if (task.startOrderedAt === 0) task.startOrderedAt = this._clock.now()
--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -50,6 +50,8 @@
   readonly capacities: { cpu: number, mem_mb: number, since: number }[] = []
   /** Time that a stop takes, in milliseconds. */
   stopMilliseconds = 0
+  /** Whether the worker refuses every start for want of room. */
+  refusesStarts = false
   /** Rows of other kinds that the worker lists beside its own. */
   oddRows: { running: unknown[], ended: unknown[] } = { running: [], ended: [] }
   /** Called when a run crashes the worker. */
@@ -127,6 +129,7 @@
     this._extendLease(deadline)
     if (run <= (this._highestRuns.get(task) ?? 0)) return this._refuse('old')
     if (deadline <= this.clockMilliseconds) return this._refuse('late')
+    if (this.refusesStarts) return this._refuse('room')
     this._highestRuns.set(task, run)
     const { milliseconds, result } = this._outcome(task, run)
     const startedAt = this._clock.now()
--- a/tests/job-table.test.ts
+++ b/tests/job-table.test.ts
@@ -9,7 +9,7 @@
 import { PLAIN_STEP } from './support/plain-step.js'
 
 const submission: Extract<JournalRecord, { kind: 'submission' }> = { kind: 'submission', submission: { id: 'aaaa', queue: 'queue', team: 'team', specification: '', steps: [PLAIN_STEP], occurrences: 1, startAt: 0, intervalMilliseconds: 0, submittedAt: 0 } }
-const done: JournalRecord = { kind: 'progress', job: 'aaaa', occurrence: 0, step: 0, tasks: [{ phase: 'done', run: 1, failedRuns: [], worker: '', incarnation: 0, checkpoint: '', crashes: [] }] }
+const done: JournalRecord = { kind: 'progress', job: 'aaaa', occurrence: 0, step: 0, tasks: [{ phase: 'done', run: 1, hasBegun: true, failedRuns: [], worker: '', incarnation: 0, checkpoint: '', crashes: [] }] }
 const cancellationDecision: JournalRecord = { kind: 'verdict', job: 'aaaa' }
 const outcome: JournalRecord = { kind: 'outcome', job: 'aaaa', queue: 'queue', state: 'completed', occurrences: 1, steps: 1 }
 
@@ -37,7 +37,7 @@
 
 type Progress = Extract<JournalRecord, { kind: 'progress' }>
 
-const ROW = { run: 1, failedRuns: [], worker: '', incarnation: 0, checkpoint: '', crashes: [] }
+const ROW = { run: 1, hasBegun: true, failedRuns: [], worker: '', incarnation: 0, checkpoint: '', crashes: [] }
 
 /** State of a job according to the newest record of each of its steps and the first cancellation. */
 function naiveState (records: readonly JournalRecord[], steps: number): string {
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -23,12 +23,13 @@
 const task = fc.record({
   phase: fc.constantFrom('waiting' as const, 'placed' as const, 'done' as const, 'failed' as const),
   run: fc.nat(),
+  hasBegun: fc.boolean(),
   failedRuns: fc.array(fc.nat()),
   worker: fc.string(),
   incarnation: fc.nat(),
   checkpoint: fc.string(),
   crashes: fc.array(fc.record({ run: fc.nat(), role: fc.constantFrom('bystander' as const, 'suspect' as const, 'culprit' as const, 'unconfirmed' as const) }))
-})
+}).map(progress => ({ ...progress, hasBegun: progress.run > 0 && (progress.phase !== 'waiting' || progress.hasBegun) }))
 
 test('keyed records decode to what was encoded, and a truncated one is left for the next read', () => {
   const record = fc.record({ key: fc.string({ maxLength: 60 }), value: fc.uint8Array({ maxLength: 200 }).map(bytes => Buffer.from(bytes)) })
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -49,11 +49,11 @@
     this.emulator = new PlatformEmulator(this.clock, task => this.outcomesByTask.get(task) ?? { milliseconds: 1_000, result: 'done' })
   }
 
-  /** Creates a configured fleet with workers and processes, and advances time until they have started. */
-  static async create (workers: number, nodes: readonly string[], seed = 1): Promise<EmulatedFleet> {
+  /** Creates a configured fleet with workers and processes, and advances time until they have started. Without a standby pool all workers stay. */
+  static async create (workers: number, nodes: readonly string[], seed = 1, hasStandby = true): Promise<EmulatedFleet> {
     const fleet = new EmulatedFleet(seed)
     for (let count = 0; count < workers; count++) fleet.emulator.addVirtualMachine('work', 'a')
-    fleet.configure()
+    fleet.configure({ hasStandby })
     for (const name of nodes) fleet.start(name)
     await fleet.clock.advance(2_000)
     return fleet
@@ -138,6 +138,11 @@
     return this._awaitResponse(this._service(node).state(this._createRequest(node, id), id))
   }
 
+  /** Counts the pending jobs of the queue that tests use, at a process. */
+  countPending (node: string): JobResponse {
+    return this._service(node).countPending(this._createRequest(node, ''))
+  }
+
   /** Requests cancellation of a job at a process. */
   cancel (node: string, id: string): Promise<JobResponse> {
     return this._awaitResponse(this._service(node).cancel(this._createRequest(node, id), id))
