Finish all members of a gang whose end is reported late

Cause, read by the review, not shown there: when a gang was done behind a cut, and its tasks had been started again meanwhile, the end that one worker reported finished that member only. The others waited for it for ever. Besides, a late end of a task that had failed made it done after its job had failed. Change: the end of one member stands for all; a failed task stays failed. Measured: tests/late-records.test.ts: the gang is still running on the code before, completed now.

--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -76,14 +76,14 @@
     return this._outcomes.keys()
   }
 
-  /** Returns the state of a job, or null if there is no such job. */
-  state (id: string): JobState | null {
-    return this._outcomes.get(id) ?? this._jobs.get(id)?.state ?? null
   /** IDs of cancelled jobs whose submission hasn't been read; it may not exist. */
   get earlyCancellations (): ReadonlySet<string> {
     return this._earlyCancellations
   }
 
+  /** Returns the state of a job, or null if there is no such job. */
+  state (id: string): JobState | null {
+    return this._outcomes.get(id) ?? this._jobs.get(id)?.state ?? null
   }
 
   /** Returns the progress of a wave, or null if nothing is recorded of it. */
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -83,10 +83,10 @@
   /** The other deletions don't matter: a job's keys are deleted after its outcome, which supersedes them. */
   private static _decodeDeletion (kind: string, id: string): Maybe<JournalRecord> {
     if (kind === 'over') return Just({ kind: 'retirement', job: id })
+    if (kind === 'cancel') return Just({ kind: 'disposal', job: id })
     return kind === 'lease' ? Just({ kind: 'lease-bound-withdrawal', worker: id }) : Nothing
   }
 
-    if (kind === 'cancel') return Just({ kind: 'disposal', job: id })
   private static _termValue ({ term, holder, process, isReleased, at, othersRenewUntil }: Extract<JournalRecord, { kind: 'term' }>): z.infer<typeof TermValue> {
     return { term, holder, process, isReleased, at, othersRenewUntil }
   }
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -82,7 +82,7 @@
     this._updateJob(task.step)
   }
 
-  /** Applies the completion of a run that is no longer the task's current one, for example because it was treated as lost. Its result still counts. */
+  /** Applies the completion of a run that is no longer the task's current one, for example because it was treated as lost. Its result still counts, for a gang that of all its members. */
   abandonedRunCompleted (task: ScheduledTask, completion: RunCompletion): void {
     if (task.phase === 'done' || task.step.definition.isLasting || completion.run > task.run) return
     task.hasBegun = true
@@ -91,19 +91,23 @@
       task.recordFailure(completion.run)
       this._writer.writeStep(task.step)
     }
-    if (completion.result !== 'done') return
-    if (task.phase === 'placed') this._stopObsoleteRun(task)
-    else this._finishTask(task, 'done')
+    // A failed task has ended its job.
+    if (completion.result !== 'done' || task.phase === 'failed') return
+    const members = task.step.definition.isGang ? task.step.tasks.filter(({ phase }) => phase !== 'done') : [task]
+    for (const member of members) {
+      if (member.phase === 'placed') this._stopObsoleteRun(member)
+      else this._finishTask(member, 'done')
+    }
     this._updateJob(task.step)
   }
 
   /** Requeues a task whose current run no longer exists and left no result. */
   runLost (task: ScheduledTask, cause: string): void {
+    task.hasBegun = true
     this._metrics.count('runs.lost')
     this._log.emit('run lost', { task: task.name, run: task.run, worker: task.workerId, cause })
     this.requeue(task)
   }
-    task.hasBegun = true
 
   /** Records a crash of the worker under a run of a task. */
   recordCrash (task: ScheduledTask, crash: RunCrash): void {
--- a/tests/late-records.test.ts
+++ b/tests/late-records.test.ts
@@ -26,3 +26,24 @@
   await fleet.clock.advance(3_000)
   expect(await fleet.state('one', 'none0')).toEqual({ kind: 'state', state: 'completed' })
 })
+
+// Guards against a gang that waits for ever, because the end that one of its workers reports late is taken for that of one member.
+test('a gang that was done behind a cut is done, whichever of its workers comes back', async () => {
+  const fleet = await EmulatedFleet.create(4, ['one', 'two'], 1, false)
+  const names = ['aaaa.0.0.0', 'aaaa.0.0.1']
+  for (const name of names) fleet.outcomesByTask.set(name, { milliseconds: 4_000, result: 'done' })
+  await fleet.submit('one', 'aaaa', [{ count: 2, isGang: true, maximumPerWorker: 1 }])
+  await fleet.clock.advance(1_000)
+  const workers = fleet.emulator.workerIncarnations.filter(({ running }) => running.length > 0)
+  expect(workers).toHaveLength(2)
+  for (const worker of workers) worker.isDisconnected = true
+  for (const name of names) fleet.outcomesByTask.set(name, { milliseconds: Infinity, result: 'done' })
+  await fleet.clock.advance(8_000)
+  expect(names.map(name => fleet.starts(name).length)).toEqual([2, 2])
+  const [first, second] = workers
+  if (second) fleet.emulator.crash(second)
+  if (first) first.isDisconnected = false
+  await fleet.clock.advance(5_000)
+  expect(await fleet.state('one', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+  expect(fleet.emulator.workerIncarnations.flatMap(({ running }) => running)).toEqual([])
+})
