--- a/src/scheduling/scheduled-job.ts
+++ b/src/scheduling/scheduled-job.ts
@@ -11,6 +11,7 @@
 export class ScheduledJob {
   /** Occurrences that have been opened and not closed. */
   private readonly _occurrences = new Map<number, ScheduledOccurrence>()
+  private _steps: readonly ScheduledStep[] = []
   /** Number of occurrences that are done and closed. */
   private _closedOccurrences: number
   /** First occurrence that may not have been opened yet. */
@@ -36,6 +37,7 @@
     this.startAt = startAt === 0 ? 0 : fleetTime.toLocal(startAt)
     this._closedOccurrences = view.doneOccurrences
     for (const occurrence of view.startedOccurrences) this._occurrences.set(occurrence, new ScheduledOccurrence(this, occurrence))
+    this._collectSteps()
     this._skipKnownOccurrences()
     this._pathMilliseconds = this._longestPaths()
     this._criticalPathMilliseconds = this._pathMilliseconds.reduce((longest, path) => Math.max(longest, path), 0)
@@ -65,8 +67,8 @@
   }
 
   /** Steps of the occurrences that have been opened and not closed. */
-  get steps (): ScheduledStep[] {
-    return [...this._occurrences.values()].flatMap(({ steps }) => steps)
+  get steps (): readonly ScheduledStep[] {
+    return this._steps
   }
 
   /** Whether the job holds any occurrence. */
@@ -93,6 +95,7 @@
   openNextOccurrence (): ScheduledOccurrence {
     const occurrence = new ScheduledOccurrence(this, this._nextOccurrence)
     this._occurrences.set(this._nextOccurrence, occurrence)
+    this._collectSteps()
     this._skipKnownOccurrences()
     return occurrence
   }
@@ -104,6 +107,7 @@
       if (!occurrence.isClosed) continue
       this._occurrences.delete(occurrence.index)
       this._closedOccurrences += 1
+      this._collectSteps()
     }
   }
 
@@ -126,6 +130,10 @@
     return [...this._occurrences.values()].filter(({ isDone }) => isDone).length
   }
 
+  private _collectSteps (): void {
+    this._steps = [...this._occurrences.values()].flatMap(({ steps }) => steps)
+  }
+
   private _skipKnownOccurrences (): void {
     while (this._occurrences.has(this._nextOccurrence) || this.view.isOccurrenceDone(this._nextOccurrence)) this._nextOccurrence += 1
   }
