Ask a worker before its tasks start again by a bound in the past

Cause, found on reading the diff: a new owner that goes by a bound on leases may find it over when it has just begun, and gave up the worker's tasks after two rounds of placement, 20 ms, before the first call to the worker had been answered. A run that was done there, and not acknowledged, ran again. Change: the lease of a listed worker counts as over only after a call has been answered or has failed. Besides: no bound is written while the store doesn't confirm the term, since it couldn't be withdrawn, and a worker that is unreachable for a moment would lose its runs; a cancellation of an unknown job for which there is no room gets 503, not 410; the pending jobs have a module of their own.

--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -82,7 +82,7 @@
     const state = this._isLoaded ? this._jobTable.state(id) : null
     if (state && state !== 'queued' && state !== 'running') return this._respond('cancel', id, { kind: 'cancelled' })
     const found = state ? 'there' : await this._lookUp(id)
-    if (found === 'unsure') return this._respond('cancel', id, this._retryLater('unsure'))
+    if (found === 'unsure' || (found === 'missing' && !this._jobTable.hasRoomForEarlyCancellation)) return this._respond('cancel', id, this._retryLater('unsure'))
     const result = await this._writer.write({ kind: 'cancellation', job: id }, request.deadline - RESPONSE_MARGIN_MILLISECONDS)
     return this._respond('cancel', id, this._writeResponse(result, { kind: found === 'missing' ? 'no-job' : 'cancelled' }))
   }
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -7,6 +7,7 @@
 import type { JobObserver } from './job-observer.js'
 import { JobView } from './job-view.js'
 import type { JournalRecord } from './journal-record.js'
+import { PendingJobs } from './pending-jobs.js'
 import { RENEWAL_GRACE_PERIOD_MILLISECONDS } from './renewal-grace-period.js'
 import type { Term } from './term.js'
 import type { WaveProgress } from './wave-progress.js'
@@ -14,9 +15,6 @@
 /** Limit on cancellations that are kept until their submission has been read. */
 const MAXIMUM_EARLY_CANCELLATIONS = 10_000
 
-/** Time after which a task that has been placed is taken to have begun, in milliseconds: by then its worker has accepted or refused it, and counts of pending jobs may be 2 s old. */
-const START_MILLISECONDS = 1_000
-
 /** Kinds of records that any process writes, not only owners. */
 const ANY_PROCESS_KINDS: ReadonlySet<JournalRecord['kind']> = new Set(['submission', 'cancellation', 'disposal', 'holder-end'])
 
@@ -41,8 +39,7 @@
   readonly backlog = new JobBacklog()
   private readonly _jobs = new Map<string, JobView>()
   private readonly _outcomes = new Map<string, JobState>()
-  /** IDs of the jobs of which nothing has started, by queue, with the epoch milliseconds from which a start that is on its way counts; Infinity for none. */
-  private readonly _pending = new Map<string, Map<string, number>>()
+  private readonly _pending: PendingJobs
   private readonly _earlyCancellations = new Set<string>()
   /** Decisions on jobs whose submission hasn't been read yet, by job: the two are in topics without a common order. */
   private readonly _earlyDecisions = new Map<string, Array<(job: JobView) => boolean>>()
@@ -54,7 +51,9 @@
   private readonly _endedHolders = new Map<string, { readonly holder: string, readonly endedBefore: number }>()
   private _term: Term = { number: 0, holder: '', process: '', isReleased: true, renewedAt: 0, othersRenewUntil: 0 }
 
-  constructor (private readonly _clock: Clock) {}
+  constructor (private readonly _clock: Clock) {
+    this._pending = new PendingJobs(_clock)
+  }
 
   /** Newest term claimed. */
   get term (): Term {
@@ -81,6 +80,11 @@
     return this._earlyCancellations
   }
 
+  /** Whether another such cancellation can be kept. */
+  get hasRoomForEarlyCancellation (): boolean {
+    return this._earlyCancellations.size < MAXIMUM_EARLY_CANCELLATIONS
+  }
+
   /** Returns the state of a job, or null if there is no such job. */
   state (id: string): JobState | null {
     return this._outcomes.get(id) ?? this._jobs.get(id)?.state ?? null
@@ -118,8 +122,7 @@
 
   /** Returns the number of accepted jobs of a queue of which nothing has started. */
   countPending (queue: string): number {
-    const now = this._clock.now()
-    return [...this._pending.get(queue)?.values() ?? []].filter(startedAt => startedAt > now).length
+    return this._pending.count(queue)
   }
 
   /** Number of records from owners so far; it increases while there is a live owner. */
@@ -180,7 +183,7 @@
     if (this._earlyCancellations.delete(submission.id)) job.requestCancellation()
     const areApplied = (this._earlyDecisions.get(submission.id) ?? []).map(applyDecision => applyDecision(job))
     this._earlyDecisions.delete(submission.id)
-    this._updatePending(job)
+    this._pending.update(job)
     this.observer?.jobSubmitted(job)
     return !areApplied.includes(false)
   }
@@ -190,7 +193,7 @@
     if (this._outcomes.has(id)) return
     const job = this._jobs.get(id)
     if (!job) {
-      if (this._earlyCancellations.size < MAXIMUM_EARLY_CANCELLATIONS) this._earlyCancellations.add(id)
+      if (this.hasRoomForEarlyCancellation) this._earlyCancellations.add(id)
       return
     }
     if (job.isCancellationRequested) return
@@ -223,7 +226,7 @@
       return true
     }
     const isApplied = decision(job)
-    this._updatePending(job)
+    this._pending.update(job)
     return isApplied
   }
 
@@ -232,21 +235,8 @@
     this._earlyDecisions.delete(id)
     const job = this._jobs.get(id)
     if (!job) return
-    this._pending.get(job.submission.queue)?.delete(id)
+    this._pending.remove(job)
     this.backlog.remove(job.submission)
     this._jobs.delete(id)
   }
-
-  private _updatePending (job: JobView): void {
-    const { id, queue } = job.submission
-    const { state, hasBegun } = job
-    if (hasBegun || (state !== 'queued' && state !== 'running')) {
-      this._pending.get(queue)?.delete(id)
-      return
-    }
-    const startedAtById = this._pending.get(queue) ?? new Map<string, number>()
-    this._pending.set(queue, startedAtById)
-    if (state === 'queued') startedAtById.set(id, Infinity)
-    else if (startedAtById.get(id) === Infinity) startedAtById.set(id, this._clock.now() + START_MILLISECONDS)
-  }
 }
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -98,6 +98,11 @@
     return this._leaseDeadline
   }
 
+  /** Whether a call has been answered or has failed, or there is none to make: before that, the worker may have completions to report whose runs must not start again. */
+  get hasBeenTried (): boolean {
+    return !this.isListed || this.lastReportAt > 0 || this.unreachableSince > 0
+  }
+
   /** Whether the reservations exceed the capacity, which may have shrunk. */
   get isOvercommitted (): boolean {
     return !fitsWithin(this._reserved, this.entry.capacity)
--- a/src/scheduling/lease-bounds.ts
+++ b/src/scheduling/lease-bounds.ts
@@ -7,6 +7,12 @@
 import type { DecisionWriterTask } from './decision-writer-task.js'
 import type { FleetWorker } from './fleet-worker.js'
 
+/**
+ * Age of the store's last confirmation of the term up to which a bound is written, in milliseconds. While the store is away it couldn't be withdrawn, and a worker that is
+ * unreachable for a moment would lose its runs.
+ */
+const MAXIMUM_CONFIRMATION_AGE_MILLISECONDS = 1_000
+
 /**
  * Writes by when the leases of workers that can't be reached have expired. Otherwise each next owner would have to assume that this one has renewed them until
  * its end, and would wait for the longest lease anew. While the journal has a bound for a worker, none of its leases is extended.
@@ -14,9 +20,9 @@
 export class LeaseBounds {
   constructor (private readonly _jobTable: JobTable, private readonly _writer: DecisionWriterTask, private readonly _term: number, private readonly _fleetTime: FleetTime, private readonly _log: DecisionLog) {}
 
-  /** Writes the bound for a worker, unless there is one or the worker has no tasks. No lease of the worker may be extended from now on. */
+  /** Writes the bound for a worker, unless there is one, the worker has no tasks, or the store is away. No lease of the worker may be extended from then on. */
   record (worker: FleetWorker): void {
-    if (worker.hasLeaseBound || worker.tasks.size === 0) return
+    if (worker.hasLeaseBound || worker.tasks.size === 0 || !this._writer.isTermConfirmedWithin(MAXIMUM_CONFIRMATION_AGE_MILLISECONDS)) return
     worker.hasLeaseBound = true
     const { entry: { id, incarnation }, leaseExpiresAt, lastReportAt } = worker
     this._log.emit('lease bound recorded', { worker: id, incarnation, runs: worker.tasks.size, heardAt: Math.round(lastReportAt), expiresAt: Math.round(leaseExpiresAt) })
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -66,7 +66,7 @@
   /** Treats runs as lost on workers whose lease has expired without renewal. */
   private _expireLeases (now: number): void {
     this._workers.refreshInheritedLeases()
-    const expired = [...this._workers.all].filter(worker => worker.tasks.size > 0 && worker.leaseExpiresAt < now)
+    const expired = [...this._workers.all].filter(worker => worker.tasks.size > 0 && worker.leaseExpiresAt < now && worker.hasBeenTried)
     // A report may have arrived that this process, held up until now, reads before the next round.
     for (const worker of expired) if (this._expiredWorkers.has(worker)) this._losses.leaseExpired(worker)
     this._expiredWorkers = new Set(expired)
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -39,6 +39,8 @@
   lostAppendResponses = 0
   /** Delay of the appends of a caller, which are executed late and get no response, in milliseconds. */
   readonly lateAppends = new Map<string, number>()
+  /** Latency of the calls to a slow worker, in milliseconds, by its address. */
+  readonly workerLatencies = new Map<string, number>()
   /** Latency of a start on a worker, in milliseconds. */
   startLatencyMilliseconds = 0
   /** Number of starts, from the next one on, that get no response and are executed late. */
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -176,7 +176,7 @@
     this.workerCalls += 1
     const worker = this._workersByAddress.get(address)
     if (!worker || worker.isDisconnected) return null
-    await this._clock.sleepUntil(this._clock.now() + WORKER_LATENCY_MILLISECONDS)
+    await this._clock.sleepUntil(this._clock.now() + (this.faults.workerLatencies.get(address) ?? WORKER_LATENCY_MILLISECONDS))
     if (headers['expect-instance'] !== worker.id) return this._encode({ status: 421, body: {} })
     const order = JSON.parse(body.toString()) as Record<string, never>
     if (call === 'run-start' && this.faults.consumeLateStart()) {
--- a/tests/lease-bounds.test.ts
+++ b/tests/lease-bounds.test.ts
@@ -75,6 +75,26 @@
   expect(secondStartOf(fleet) - lostAt).toBeLessThan(9_000)
 })
 
+// Guards against tasks that are done and run again, because the new owner goes by a bound in the past before it has asked the worker.
+test('completions of a worker whose lease is over when the next owner takes over are asked for before its tasks start again', { timeout: 60_000 }, async () => {
+  const fleet = await EmulatedFleet.create(3, ['one', 'two', 'three'], 1, false)
+  fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: 4_000, result: 'done' })
+  await fleet.submit('one', 'aaaa', [{}])
+  await fleet.clock.advance(1_000)
+  const worker = fleet.emulator.workerIncarnations.find(({ running }) => running.length > 0)
+  if (!worker) throw new Error('nothing is running')
+  worker.isDisconnected = true
+  await fleet.clock.advance(4_300)
+  fleet.kill(fleet.owner())
+  worker.isDisconnected = false
+  // The lease is over by the time the workers are known, and this one takes some time to respond.
+  fleet.emulator.faults.newestReadDelays.set('keyed.servers', 1_500)
+  fleet.emulator.faults.workerLatencies.set(worker.address, 300)
+  await fleet.clock.advance(12_000)
+  expect(await fleet.state(fleet.owner(), 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+  expect(fleet.starts('aaaa.0.0.0')).toHaveLength(1)
+})
+
 // Guards against two runs at once: the owner before the last one goes on renewing leases although the last one has released its term, or has ended.
 test.each(['is shut down', 'is killed and started again'])('while a cut-off owner renews the lease of a worker, the task is not started elsewhere although the next owner %s', { timeout: 60_000 }, async change => {
   const { fleet, worker } = await startLastingTask()
