Log the listed records that can't be read

Cause: a listing of the newest records skips items of an unknown form, so that they hide no others, but no line told of it. Change: the topic logs their number and the topic. Measured: the test of such items checks the line; without the change it fails. All 487 tests, lint and types pass.

--- a/src/main/node-tree.ts
+++ b/src/main/node-tree.ts
@@ -82,9 +82,9 @@
     this._holder = { name: `${_settings.process.id}-${Math.round(_clock.now())}-${_random.integer(HOLDER_SUFFIX_BOUND)}`, process: _settings.process.id }
     this._supervisorObserver = new DecisionLogSupervisorObserver(_log, _metrics)
     this._storeClient = _dialer.dial(_settings.platform.store, MAXIMUM_STORE_CONNECTIONS)
-    this._decisionJournal = new TopicJournal(new KeyedTopic(this._storeClient, DECISION_TOPIC, _clock), _log)
-    this._submissionJournal = new TopicJournal(new KeyedTopic(this._storeClient, SUBMISSION_TOPIC, _clock), _log)
-    const operatorFeed = new TopicFeed(new KeyedTopic(this._storeClient, OPERATOR_TOPIC, _clock), record => OperatorCodec.decode(record), _log)
+    this._decisionJournal = new TopicJournal(new KeyedTopic(this._storeClient, DECISION_TOPIC, _clock, _log), _log)
+    this._submissionJournal = new TopicJournal(new KeyedTopic(this._storeClient, SUBMISSION_TOPIC, _clock, _log), _log)
+    const operatorFeed = new TopicFeed(new KeyedTopic(this._storeClient, OPERATOR_TOPIC, _clock, _log), record => OperatorCodec.decode(record), _log)
     this.configuration = new ConfigurationFollowerTask(operatorFeed, _clock, _random, _metrics, _log)
     const jobTable = new JobTable(_clock)
     this._fleetTime = new FleetTime(_clock, this._holder.name)
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -116,7 +116,7 @@
     const leaseBounds = new LeaseBounds(jobTable, writer, term, this._fleetTime, log)
     const losses = new WorkerLossHandler(schedule, leaseBounds, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, clock, metrics, log)
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, clock, metrics, log)
-    const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock), record => WorkerCodec.decode(record), log)
+    const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock, log), record => WorkerCodec.decode(record), log)
     const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
       workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(this._dialer), term,
       worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseBounds, leaseDurations, pace, onLost, clock, random, metrics, log),
@@ -152,7 +152,7 @@
     const { _clock: clock, _log: log, _configuration: configuration, _decisions: { jobTable } } = this
     const inventory = new InventoryTask(control, clock, log)
     const locks = new VirtualMachineLocks(jobTable, writer, term, claim.earlierOwners.lastContactAt, timings.holderChangeMilliseconds, this._fleetTime, clock)
-    const statusPublisher = new TopicWaveStatusPublisher(new KeyedTopic(this._storeClient, STATUS_TOPIC, clock))
+    const statusPublisher = new TopicWaveStatusPublisher(new KeyedTopic(this._storeClient, STATUS_TOPIC, clock, log))
     const isTakeoverDone = (): boolean => takeover.isDone
     const isViewCurrent = (): boolean => isTakeoverDone() && this._viewFreshAt() > clock.now() - MAXIMUM_VIEW_AGE_MILLISECONDS
     return [
--- a/src/platform/keyed-topic.ts
+++ b/src/platform/keyed-topic.ts
@@ -7,6 +7,7 @@
 import { FeedError } from '../feeds/feed-error.js'
 import type { FeedPage } from '../feeds/feed-page.js'
 import type { JournalFence } from '../jobs/journal-fence.js'
+import type { DecisionLog } from '../observability/decision-log.js'
 import type { Clock } from '../supervision/clock.js'
 import type { CallClient } from './call-client.js'
 import { KeyedRecordCodec } from './keyed-record-codec.js'
@@ -44,7 +45,7 @@
   private readonly _query: string
 
   /** @param name name of the topic. */
-  constructor (private readonly _client: CallClient, readonly name: string, private readonly _clock: Clock) {
+  constructor (private readonly _client: CallClient, readonly name: string, private readonly _clock: Clock, private readonly _log: DecisionLog) {
     this._query = `topic=${name}&part=${PARTITION}`
   }
 
@@ -63,8 +64,7 @@
       const page = parseJson(NewestResponse, body)
       if (page.isLeft()) return Left(new FeedError('invalid', page.extract() as string))
       const { items, more, end_offset: end } = page.unsafeCoerce()
-      // One item of another form doesn't make the others unreadable.
-      const rows = items.flatMap(item => NewestItem.safeParse(item).data ?? [])
+      const rows = this._readableItems(items)
       for (const { key, value, offset } of rows) changes.push({ offset, value: { key, value: Buffer.from(value, 'base64') } })
       // The pages are not a consistent snapshot: reading continues from the end offset of the first page, so later records are read again.
       next ??= end
@@ -76,6 +76,13 @@
     }
   }
 
+  /** One item of another form doesn't make the others unreadable. */
+  private _readableItems (items: unknown[]): Array<z.infer<typeof NewestItem>> {
+    const rows = items.flatMap(item => NewestItem.safeParse(item).data ?? [])
+    if (rows.length < items.length) this._log.emit('records not read', { topic: this.name, count: items.length - rows.length, cause: 'the store listed them in an unknown form' })
+    return rows
+  }
+
   /** Reads records from an offset on; waits for one until `waitDeadline` (epoch milliseconds). */
   async read (offset: number, waitDeadline: number, signal: AbortSignal): Promise<Either<FeedError, FeedPage<KeyedRecord>>> {
     const page = await this._readPage(offset, waitDeadline, MAXIMUM_PAGE_KILOBYTES, signal)
--- a/tests/keyed-topic.test.ts
+++ b/tests/keyed-topic.test.ts
@@ -14,9 +14,10 @@
 
 const LARGEST_RECORD_BYTES = 262_144
 
-const topicOf = (respond: (path: string) => Buffer | object): { topic: KeyedTopic, client: ScriptedCallClient } => {
+const topicOf = (respond: (path: string) => Buffer | object): { topic: KeyedTopic, client: ScriptedCallClient, log: RecordingDecisionLog } => {
   const client = new ScriptedCallClient(respond)
-  return { topic: new KeyedTopic(client, 'keyed.test', new FakeClock()), client }
+  const log = new RecordingDecisionLog()
+  return { topic: new KeyedTopic(client, 'keyed.test', new FakeClock(), log), client, log }
 }
 
 const item = (key: string): object => ({ key, value: Buffer.from('v').toString('base64'), offset: 0 })
@@ -32,9 +33,10 @@
   expect(client.paths).toHaveLength(2)
 })
 
-test('an item of another form, or a key that cannot stand in a path, hides no other record', async () => {
-  const { topic } = topicOf(path => path.includes('after') ? { items: [item('z')], more: false, end_offset: 5 } : { items: [item('a'), { key: 7 }, null, item('\ud800')], more: true, end_offset: 5 })
+test('an item of another form, or a key that cannot stand in a path, hides no other record, and is logged', async () => {
+  const { topic, log } = topicOf(path => path.includes('after') ? { items: [item('z')], more: false, end_offset: 5 } : { items: [item('a'), { key: 7 }, null, item('\ud800')], more: true, end_offset: 5 })
   expect((await topic.newest(signal)).unsafeCoerce().changes.map(({ value }) => value.key)).toEqual(['a', '\ud800', 'z'])
+  expect(log.fieldsOf('records not read')).toMatchObject([{ topic: 'keyed.test', count: 2 }])
 })
 
 test('a record that is larger than an ordinary page is read with a larger one', async () => {
--- a/tests/platform-http-clients.test.ts
+++ b/tests/platform-http-clients.test.ts
@@ -15,6 +15,7 @@
 import { SystemClock } from '../src/supervision/system-clock.js'
 import { EmulatorServer } from '../stand-ins/emulator/emulator-server.js'
 import { PlatformEmulator } from '../stand-ins/emulator/platform-emulator.js'
+import { RecordingDecisionLog } from './support/recording-decision-log.js'
 
 const clock = new SystemClock()
 const signal = new AbortController().signal
@@ -46,7 +47,7 @@
 
 test('records can be appended, read and listed as the newest of each key, and a read of compacted records fails', async () => {
   const { emulator, connect } = startEmulator()
-  const topic = new KeyedTopic(await connect(emulator.addresses.store), 'keyed.test', clock)
+  const topic = new KeyedTopic(await connect(emulator.addresses.store), 'keyed.test', clock, new RecordingDecisionLog())
   const record = (key: string, text: string): { key: string, value: Buffer } => ({ key, value: Buffer.from(text) })
   expect((await topic.append([record('a', '1'), record('b', '2')], null, distantDeadline(), signal)).extract()).toBe(0)
   expect((await topic.append([record('a', '3')], { term: 9, sequence: 0 }, distantDeadline(), signal)).extract()).toBe(2)
@@ -60,7 +61,7 @@
 
 test('an append can be repeated with its sequence number, is fenced by a higher term and can require an end offset', async () => {
   const { emulator, connect } = startEmulator()
-  const topic = new KeyedTopic(await connect(emulator.addresses.store), 'keyed.test', clock)
+  const topic = new KeyedTopic(await connect(emulator.addresses.store), 'keyed.test', clock, new RecordingDecisionLog())
   const append = async (term: number, sequence: number, expectedEnd?: number): Promise<number | string> => {
     const fence = { term, sequence, ...(expectedEnd === undefined ? {} : { expectedEnd }) }
     const result = await topic.append([{ key: 'k', value: Buffer.from('v') }], fence, distantDeadline(), signal)
