Log whose responses tell a new owner until when to wait

'term begins' has the names now, 'inherited leases reduced' what is known by now and from whom, and 'previous owner may have resumed' which named workers were silent when it became possible.

--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -47,6 +47,7 @@
 import { TeamUsage } from '../scheduling/team-usage.js'
 import { UrgencyPlacementPolicy } from '../scheduling/urgency-placement-policy.js'
 import { WorkerRegistryFollowerTask } from '../scheduling/worker-registry-follower-task.js'
+import { InheritedLeases } from '../scheduling/inherited-leases.js'
 import { LeaseBounds } from '../scheduling/lease-bounds.js'
 import { LeaseRenewalPermit } from '../scheduling/lease-renewal-permit.js'
 import { LeaseRenewalTask } from '../scheduling/lease-renewal-task.js'
@@ -106,7 +107,7 @@
       (worker, task, run) => new StopRunTask(worker, task, run, outcomes, onLost, clock, random, log)
     )
     const advice: AdviceTask = new AdviceTask(this._advisor, () => schedule.markChanged(), clock, metrics, log)
-    const workerTable: WorkerTable = new WorkerTable(configuration, leaseMilliseconds, earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
+    const workerTable: WorkerTable = new WorkerTable(configuration, new InheritedLeases(leaseMilliseconds, earlierOwners, clock, log), earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
     const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, this._fleetTime, clock, metrics, log)
--- a/src/ownership/earlier-owners.ts
+++ b/src/ownership/earlier-owners.ts
@@ -35,7 +35,7 @@
   get renewLeasesUntil (): number {
     if (!this._renewals) return this._claimedAt
     const { process, holder, until, resumesUntil, othersUntil } = this._renewals
-    const ownUntil = this._isResumptionExcluded ? until : Math.max(until, resumesUntil)
+    const ownUntil = this.isResumptionExcluded ? until : Math.max(until, resumesUntil)
     return Math.max(Math.min(this._toLocal(ownUntil), this._jobTable.holderEndedAt(process, holder)), this._toLocal(othersUntil))
   }
 
@@ -46,15 +46,30 @@
 
   /** What the last owner that extended leases has written about that, and is known by now. */
   get renewals (): LeaseRenewals | null {
-    return this._renewals && this._isResumptionExcluded ? { ...this._renewals, resumesUntil: this._renewals.at } : this._renewals
+    return this._renewals && this.isResumptionExcluded ? { ...this._renewals, resumesUntil: this._renewals.at } : this._renewals
   }
 
   /** Whether too few of the workers that the last owner names may still have responded to it by the time that it needs a majority of them to resume. */
-  private get _isResumptionExcluded (): boolean {
+  get isResumptionExcluded (): boolean {
     const count = this._renewals?.workerClocks.length ?? 0
     return this._fencedInTime.size >= count / 2
   }
 
+  /** Latest epoch milliseconds from which on workers' responses can't exclude any more that the last owner resumes. */
+  get resumesAfter (): number {
+    return this._toLocal(this._renewals?.resumesAfter ?? 0)
+  }
+
+  /** IDs of the workers that the last owner names. */
+  get namedWorkers (): readonly string[] {
+    return this._renewals?.workerClocks.map(({ worker }) => worker) ?? []
+  }
+
+  /** IDs of those that refuse its calls from before it may resume. */
+  get workersFencedInTime (): readonly string[] {
+    return [...this._fencedInTime]
+  }
+
   /**
    * Returns the epoch milliseconds by which all leases of an incarnation of a worker have expired according to the journal, or null if it has no bound that
    * was written since an owner last extended leases.
@@ -81,11 +96,11 @@
   compareClock (worker: string, incarnation: number, clock: number, now: number): boolean {
     const reading = this._renewals?.workerClocks.find(other => other.worker === worker && other.incarnation === incarnation)
     if (!this._renewals || !reading) return false
-    const wasExcluded = this._isResumptionExcluded
+    const wasExcluded = this.isResumptionExcluded
     this._writtenBefore = Math.min(this._writtenBefore, now - (clock - reading.latest) / WORKER_CLOCK_RATE.fastest)
     const longestAge = (clock - reading.earliest) / WORKER_CLOCK_RATE.slowest
     if (longestAge < this._renewals.resumesAfter - this._renewals.at - RESUMPTION_MARGIN_MILLISECONDS) this._fencedInTime.add(worker)
-    return this._isResumptionExcluded && !wasExcluded
+    return this.isResumptionExcluded && !wasExcluded
   }
 
   /** Latest epoch milliseconds of a time that the last owner has written. */
--- a/src/ownership/term-task.ts
+++ b/src/ownership/term-task.ts
@@ -92,7 +92,7 @@
       if (!stopController.signal.aborted) this._log.emit('term lost', { term, cause })
       stopController.abort()
     })
-    const { previous, lastContactAt, renewLeasesUntil } = claim.earlierOwners
+    const { previous, lastContactAt, renewLeasesUntil, namedWorkers } = claim.earlierOwners
     this._log.emit('term begins', {
       term,
       jobs: this._decisions.jobTable.size,
@@ -101,7 +101,8 @@
       previousHolder: previous.holder,
       isPreviousReleased: previous.isReleased,
       previousContactAt: Math.round(lastContactAt),
-      leasesRenewedUntil: Math.round(renewLeasesUntil)
+      leasesRenewedUntil: Math.round(renewLeasesUntil),
+      namedWorkers
     })
     const ended = owner.run(stopController.signal).finally(() => this._ownerFactory.ownerStopped())
     try {
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -3,20 +3,14 @@
  */
 import type { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
 import type { WorkerClock } from '../jobs/worker-clock.js'
-import { WORKER_CLOCK_RATE } from '../jobs/worker-clock-rate.js'
 import type { DecisionLog } from '../observability/decision-log.js'
 import type { EarlierOwners } from '../ownership/earlier-owners.js'
 import type { Clock } from '../supervision/clock.js'
 import { FleetWorker } from './fleet-worker.js'
+import type { InheritedLeases } from './inherited-leases.js'
 import type { ScheduledTask } from './scheduled-task.js'
 import type { WorkerEntry } from './worker-entry.js'
 
-/**
- * Allows for the time that a worker takes to kill its runs, and for the drift of its clock since the report by which an owner set the lease. Orders in flight extend no
- * lease, because its deadline is set on the worker's clock when they are sent.
- */
-const INHERITED_LEASE_MARGIN_MILLISECONDS = 300
-
 /** Limit on the clocks of workers in a term's record, and age of a report up to which its clock is taken, in milliseconds. */
 const MAXIMUM_CLOCKS = 5
 const MAXIMUM_CLOCK_AGE_MILLISECONDS = 2_500
@@ -27,23 +21,17 @@
 /** Listed workers, and unlisted ones that may still run something. */
 export class WorkerTable {
   private readonly _workers = new Map<string, FleetWorker>()
-  private _inheritedLeasesExpireAt: number
-  private _previousWrittenBefore: number
 
   /**
-   * @param _leaseMilliseconds length of a lease, the same in all processes of a fleet, since each owner relies on it.
    * @param _earlierOwners owners whose leases may not have expired.
    * @param _onEarlierOwnersKnown called when it has become known that the last of them doesn't resume, so that the journal can say so.
    * @param _onClockStoodStill called when a worker's clock shows that this process's own has stood still.
    * @param _registryFreshAt returns the epoch milliseconds as of which the registry is known.
    */
   constructor (
-    private readonly _configuration: ConfigurationFollowerTask, private readonly _leaseMilliseconds: number, private readonly _earlierOwners: EarlierOwners,
+    private readonly _configuration: ConfigurationFollowerTask, private readonly _inheritedLeases: InheritedLeases, private readonly _earlierOwners: EarlierOwners,
     private readonly _onEarlierOwnersKnown: () => void, private readonly _onClockStoodStill: () => void, private readonly _registryFreshAt: () => number, private readonly _clock: Clock, private readonly _log: DecisionLog
-  ) {
-    this._inheritedLeasesExpireAt = _earlierOwners.renewLeasesUntil + this._longestLeaseMilliseconds
-    this._previousWrittenBefore = _earlierOwners.writtenBefore
-  }
+  ) {}
 
   get all (): IterableIterator<FleetWorker> {
     return this._workers.values()
@@ -51,21 +39,13 @@
 
   /** Epoch milliseconds by which all leases requested so far, by any owner, have expired. */
   get unknownLeasesExpireAt (): number {
-    return Math.max(this._inheritedLeasesExpireAt, this._clock.now() + this._longestLeaseMilliseconds)
-  }
-
-  private get _longestLeaseMilliseconds (): number {
-    return this._leaseMilliseconds / WORKER_CLOCK_RATE.slowest + INHERITED_LEASE_MARGIN_MILLISECONDS
+    return this._inheritedLeases.allExpireAt
   }
 
   /** Applies what has become known of earlier owners: their leases may expire earlier than was assumed. */
   refreshInheritedLeases (): void {
-    const { renewLeasesUntil, writtenBefore } = this._earlierOwners
-    const expireAt = renewLeasesUntil + this._longestLeaseMilliseconds
-    if (expireAt >= this._inheritedLeasesExpireAt && writtenBefore >= this._previousWrittenBefore) return
-    this._inheritedLeasesExpireAt = Math.min(expireAt, this._inheritedLeasesExpireAt)
-    this._previousWrittenBefore = writtenBefore
-    for (const worker of this.all) worker.limitInheritedLeases(this._inheritedLeaseExpiry(worker.entry))
+    if (!this._inheritedLeases.refresh()) return
+    for (const worker of this.all) worker.limitInheritedLeases(this._inheritedLeases.expiryOf(worker.entry.id, worker.entry.incarnation))
   }
 
   /** Records the time of a report, and what its clock shows of earlier owners. */
@@ -185,17 +165,12 @@
 
   /** Creates a worker with the leases that earlier owners may have requested. */
   private _create (entry: WorkerEntry): FleetWorker {
-    const worker = new FleetWorker(entry, this._inheritedLeaseExpiry(entry))
+    const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation))
     worker.hasLeaseBound = this._earlierOwners.leaseBound(entry.id, entry.incarnation) !== null
     worker.boundExpiresAt = Infinity
     return worker
   }
 
-  /** Epoch milliseconds by which leases that earlier owners requested have expired: when the journal says so, or after the longest that there may be. */
-  private _inheritedLeaseExpiry ({ id, incarnation }: WorkerEntry): number {
-    return Math.min(this._inheritedLeasesExpireAt, this._earlierOwners.leaseBound(id, incarnation) ?? Infinity)
-  }
-
   private _add (entry: WorkerEntry): FleetWorker {
     const worker = this._create(entry)
     worker.firstSeenAt = this._clock.now()
--- a/tests/takeover-waits.test.ts
+++ b/tests/takeover-waits.test.ts
@@ -83,6 +83,8 @@
   await fleet.clock.advance(25_000)
   expect(secondStartOf(fleet)).toBeLessThan(Infinity)
   expect(fleet.violations()).toEqual([])
+  const uncertain = [...fleet.nodes.values()].flatMap(({ log }) => log.fieldsOf('previous owner may have resumed'))
+  expect(uncertain.map(({ accepted, silent }) => [accepted, silent].map(workers => (workers as string[]).length))).toEqual([[1, 3]])
 })
 
 test.each([0, 250, 500, 750])('a change of owner while the store takes 300 ms for each call ends no runs (lost %i ms after a second)', { timeout: 60_000 }, async offset => {
