Show that tasks of a lost rack wait for an owner that is lost as well

Callers saw a lasting task that didn't run for 11.8 s with room for it. A new owner learns from the workers that its predecessor's record names whether that one may extend leases again, and how old the record is. The record names up to five, the last one of each zone and then those listed first: with four racks of four workers, three are on rack 2, and all five on racks 0 and 2. Measured in simulated time: 11.58 s from the loss of rack 2 and its owner (9 s allowed), and 11.54 s from the start of processes that were all away for five seconds (7 s allowed), with racks 0 and 2 dark. The record's task ran again 11.76 s after its last run had lapsed. Eight tests with other racks pass.

--- a/tests/takeover-waits.test.ts
+++ b/tests/takeover-waits.test.ts
@@ -11,6 +11,13 @@
 /** The same from the start of the processes, if all have been lost. */
 const RESTART_AFTER_START_MILLISECONDS = 7_000
 
+const RACKS = ['r1', 'r2', 'r3', 'r4'] as const
+const WORKERS_PER_RACK = 4
+const TASKS_PER_RACK = 2
+
+/** Demand of which two don't fit on a worker. */
+const MORE_THAN_HALF_OF_A_WORKER = { millicores: 40_000, memoryMegabytes: 64, accelerators: 0 }
+
 /** Starts a fleet with a lasting task; returns the worker that runs it. */
 async function startLastingTask (): Promise<{ fleet: EmulatedFleet, worker: EmulatedWorker }> {
   const fleet = await EmulatedFleet.create(4, ['one', 'two', 'three'], 1, false)
@@ -22,6 +29,24 @@
   return { fleet, worker }
 }
 
+/** Starts a fleet of four racks with a lasting task on each of two workers of a rack. */
+async function startRacks (): Promise<{ fleet: EmulatedFleet, racks: readonly EmulatedWorker[][] }> {
+  const fleet = new EmulatedFleet(1)
+  const workers = RACKS.map(rack => Array.from({ length: WORKERS_PER_RACK }, () => fleet.emulator.addVirtualMachine('work', 'a', rack)))
+  fleet.configure({ hasStandby: false })
+  for (const name of ['one', 'two', 'three']) fleet.start(name)
+  await fleet.clock.advance(2_000)
+  for (const step of RACKS.keys()) for (let index = 0; index < TASKS_PER_RACK; index++) fleet.outcomesByTask.set(`aaaa.0.${step}.${index}`, { milliseconds: Infinity, result: 'done' })
+  await fleet.submit('one', 'aaaa', RACKS.map(preferredRack => ({ count: TASKS_PER_RACK, isLasting: true, demand: MORE_THAN_HALF_OF_A_WORKER, preferredRack })))
+  await fleet.clock.advance(3_000)
+  return { fleet, racks: workers.map(rack => rack.filter(worker => worker !== null)) }
+}
+
+/** Time from which on all tasks that ran on workers have been started again. */
+function restartedAt (fleet: EmulatedFleet, tasks: readonly string[]): number {
+  return Math.max(...tasks.map(task => fleet.starts(task).find(({ run }) => run > 1)?.at ?? Infinity))
+}
+
 function secondStartOf (fleet: EmulatedFleet): number {
   return fleet.starts('aaaa.0.0.0').find(({ run }) => run > 1)?.at ?? Infinity
 }
@@ -95,3 +120,35 @@
   await fleet.clock.advance(12_000)
   expect(fleet.starts('aaaa.0.0.0')).toHaveLength(1)
 })
+
+test.each([0, 1, 2, 3])('lasting tasks run again within nine seconds of the loss of their rack, although their owner is lost with it (rack %i)', { timeout: 60_000 }, async rack => {
+  const { fleet, racks } = await startRacks()
+  const silent = racks[rack] ?? []
+  const tasks = silent.flatMap(({ running }) => running)
+  expect(tasks.length).toBeGreaterThan(0)
+  for (const worker of silent) worker.isDisconnected = true
+  const lostAt = fleet.clock.now()
+  await fleet.clock.advance(150)
+  fleet.kill(fleet.owner())
+  await fleet.clock.advance(20_000)
+  expect(restartedAt(fleet, tasks) - lostAt).toBeLessThan(RESTART_MILLISECONDS)
+  expect(fleet.violations()).toEqual([])
+})
+
+// Guards against an age of the last record that none of the workers shows that are left.
+test.each([[0, 1], [0, 2], [0, 3], [1, 2], [1, 3], [2, 3]])('processes that start five seconds after the loss of all, and of the owner and two racks for good, wait for leases from the owner\'s last record (racks %i and %i)', { timeout: 60_000 }, async (...lost) => {
+  const { fleet, racks } = await startRacks()
+  const silent = lost.flatMap(rack => racks[rack] ?? [])
+  const tasks = silent.flatMap(({ running }) => running)
+  const owner = fleet.owner()
+  for (const worker of silent) worker.isDisconnected = true
+  await fleet.clock.advance(150)
+  const names = [...fleet.nodes.keys()]
+  for (const name of names) fleet.kill(name)
+  await fleet.clock.advance(5_000)
+  const startedAt = fleet.clock.now()
+  for (const name of names) if (name !== owner) fleet.start(name)
+  await fleet.clock.advance(25_000)
+  expect(restartedAt(fleet, tasks) - startedAt).toBeLessThan(RESTART_AFTER_START_MILLISECONDS)
+  expect(fleet.violations()).toEqual([])
+})
