Name workers of all pools, racks and zones for a successor to ask

Callers saw a lasting task that didn't run for 11.8 s with room for it. A new owner can exclude that its predecessor extends leases again, and learns the age of its last record, only from workers that this record names. It named up to five, the last one of each zone and then those listed first, which may share a rack; three silent ones of five brought the whole wait back, five the age of the first read. Up to 15 are named now, spread evenly over pools, racks and zones, so that a lost rack, pool or zone leaves a majority. The rule itself is unchanged: the predecessor needs a majority of the same workers, so that more names make neither side act sooner than the other one allows.

--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -6,13 +6,16 @@
 import type { DecisionLog } from '../observability/decision-log.js'
 import type { EarlierOwners } from '../ownership/earlier-owners.js'
 import type { Clock } from '../supervision/clock.js'
+import { chooseSpreadWorkers } from './choose-spread-workers.js'
 import { FleetWorker } from './fleet-worker.js'
 import type { InheritedLeases } from './inherited-leases.js'
 import type { ScheduledTask } from './scheduled-task.js'
 import type { WorkerEntry } from './worker-entry.js'
 
-/** Limit on the clocks of workers in a term's record, and age of a report up to which its clock is taken, in milliseconds. */
-const MAXIMUM_CLOCKS = 5
+/** Limit on the clocks of workers in a term's record; most of them must remain when a rack, a pool or an availability zone is lost. */
+const MAXIMUM_CLOCKS = 15
+
+/** Age of a report up to which its clock is taken, in milliseconds. */
 const MAXIMUM_CLOCK_AGE_MILLISECONDS = 2_500
 
 /** Age of the registry's view above which a capacity may have shrunk without notice, in milliseconds. */
@@ -59,12 +62,10 @@
     if (this._earlierOwners.compareClock(worker.entry.id, worker.entry.incarnation, workerClock, now)) this._onEarlierOwnersKnown()
   }
 
-  /** Returns the clocks of some workers that have just reported, from as many availability zones as possible. */
+  /** Returns the clocks of some workers that have just reported, spread over pools, racks and availability zones. */
   readClocks (now: number): WorkerClock[] {
     const recent = [...this.all].filter(({ lastReportAt, clockEstimate }) => lastReportAt > now - MAXIMUM_CLOCK_AGE_MILLISECONDS && clockEstimate.isKnown)
-    const byZone = new Map(recent.map(worker => [worker.entry.availabilityZone, worker]))
-    const chosen = [...new Set([...byZone.values(), ...recent])].slice(0, MAXIMUM_CLOCKS)
-    return chosen.map(({ entry: { id, incarnation }, clockEstimate }) => {
+    return chooseSpreadWorkers(recent, MAXIMUM_CLOCKS).map(({ entry: { id, incarnation }, clockEstimate }) => {
       const { earliest, latest } = clockEstimate.read(now)
       return { worker: id, incarnation, earliest: Math.floor(earliest), latest: Math.ceil(latest) }
     })
