Test lasting tasks of a rack that falls silent as its owner is lost

Callers see a lasting task without a run for 11.5 s, with room for it, after its rack went dark and the owner's machine was lost 150 ms later; 11.8 s if half of two pools' workers went dark and all processes were lost 70 ms later, the owner for good. Users allow 9 s from the end of the run, or 7 s from the start of the processes.

Cause: the owner's record names five workers. The next owner knows that its predecessor doesn't resume only once half of them have accepted its calls; if three are silent, it waits for the second period as well.

The fleets have 12 workers in three pools, four racks and two zones, with one lasting task each.

--- a/tests/support/lease-series/disturbed-fleet.ts
+++ b/tests/support/lease-series/disturbed-fleet.ts
@@ -4,6 +4,8 @@
 import type { EmulatedWorker } from '../../../stand-ins/emulator/emulated-worker.js'
 import { EmulatedFleet } from '../emulated-fleet.js'
 import { CalmRecord } from './calm-record.js'
+import { DisturbedPools } from './disturbed-pools.js'
+import type { PlannedMachine } from './planned-machine.js'
 
 /** Job of the lasting tasks. */
 const JOB = 'aaaa'
@@ -41,10 +43,11 @@
   /** Epoch milliseconds of the last action. */
   lastActionAt = 0
   private _actions: ScheduledAction[] = []
-  private _newestTerm = 0
+  private _newestTerm: number
 
   private constructor (readonly fleet: EmulatedFleet) {
     this.calm = new CalmRecord(fleet)
+    this._newestTerm = this._latestTerm().term
   }
 
   /**
@@ -64,9 +67,20 @@
     for (let index = 0; index < tasks; index++) fleet.outcomesByTask.set(`${JOB}.0.0.${index}`, { milliseconds: Infinity, result: 'done' })
     await fleet.submit(processes[0] ?? '', JOB, [{ count: tasks, isLasting: true, maximumPerWorker: 2 }])
     await fleet.clock.advance(STEADY_MILLISECONDS)
-    const disturbed = new DisturbedFleet(fleet)
-    disturbed._newestTerm = disturbed._latestTerm().term
-    return disturbed
+    return new DisturbedFleet(fleet)
+  }
+
+  /** Starts a fleet of several pools with a lasting task on each worker, and makes room for more of them once they run. */
+  static async createFilled (seed: number, processes: readonly string[], machines: readonly PlannedMachine[]): Promise<DisturbedFleet> {
+    const fleet = new EmulatedFleet(seed)
+    const pools = new DisturbedPools(fleet, machines)
+    for (const name of processes) fleet.start(name)
+    await fleet.clock.advance(START_MILLISECONDS)
+    await pools.submitLastingTasks(processes[0] ?? '')
+    await fleet.clock.advance(STEADY_MILLISECONDS)
+    pools.makeRoom()
+    await fleet.clock.advance(STEADY_MILLISECONDS)
+    return new DisturbedFleet(fleet)
   }
 
   get now (): number {
