Prefer other workers after a start without a response

What callers saw: a task that lasts, handed in while a worker reported but answered no start, never ran, with two empty workers beside it. Cause: after such a start the run is stopped and the task waits again once a report shows that the run is not there. Nothing remembered the worker: its next report ended the suspicion, and placement, which takes the first of equal workers, chose it again, every 2.3 s. Why this works: for 10 s after a start without a response other workers with room go before that one. It is a preference: where there is no other worker, or an owner that was held up has it of all, placement is as before.

--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -32,6 +32,8 @@
   isCordoned = false
   /** Epoch milliseconds until which the worker gets nothing new after failed runs or a refused order. */
   cooldownUntil = 0
+  /** Epoch milliseconds until which other workers go before it, because a start got no response. */
+  avoidedUntil = 0
   /** Epoch milliseconds since which the worker may be unreachable: it gets nothing new before a later report. */
   suspectedSince = 0
   /** Number of failed runs since the last successful one. */
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -215,8 +215,12 @@
     return this._reservations.teamUsage.isWithinUpperLimit(step.job.view.submission.team, step.definition.demand)
   }
 
+  /** Returns the workers that may get a task; those that didn't respond to a start only if there are no others. */
   private _candidateWorkers (task: ScheduledTask, workers: readonly FleetWorker[], isolation: RunIsolation): FleetWorker[] {
-    return this._workersWithCapacity(task, workers).filter(worker => isolation.permits(task, worker))
+    const now = this._clock.now()
+    const candidates = this._workersWithCapacity(task, workers).filter(worker => isolation.permits(task, worker))
+    const preferred = candidates.filter(({ avoidedUntil }) => avoidedUntil <= now)
+    return preferred.length > 0 ? preferred : candidates
   }
 
   private _workersWithCapacity (task: ScheduledTask, workers: readonly FleetWorker[]): FleetWorker[] {
--- a/src/scheduling/start-outcome-handler.ts
+++ b/src/scheduling/start-outcome-handler.ts
@@ -14,6 +14,9 @@
 /** Time during which a worker that refused a start order gets no new tasks, in milliseconds. */
 const REFUSAL_COOLDOWN_MILLISECONDS = { refused: 150, unhealthy: 1_000 } as const
 
+/** Time during which other workers go before one that did not respond to a start order, in milliseconds; it may report all the same. */
+const AVOIDANCE_MILLISECONDS = 10_000
+
 /** Applies to the schedule what became of the orders for runs. */
 export class StartOutcomeHandler {
   constructor (
@@ -47,6 +50,7 @@
    */
   startUnconfirmed (task: ScheduledTask, worker: FleetWorker, run: number, sentAt: number): void {
     this._workers.suspect(worker, sentAt)
+    worker.avoidedUntil = this._clock.now() + AVOIDANCE_MILLISECONDS
     if (task.run !== run || task.worker === null) return
     this._metrics.count('runs.unsettled')
     this._log.emit('start unsettled', { task: task.name, run, worker: task.workerId })
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -51,6 +51,8 @@
   startLatencyMilliseconds = 0
   /** Number of starts, from the next one on, that get no response and are executed late. */
   lateStarts = 0
+  /** Addresses of workers at which every start gets no response and is executed late. */
+  readonly lateStartAddresses = new Set<string>()
   /** Delay of a late start, in milliseconds. */
   lateStartMilliseconds = 3_000
 
@@ -61,8 +63,9 @@
   /** Whether such a worker is back under its ID; otherwise another worker is at its address. */
   keepsIdAfterCrash = false
 
-  /** Returns whether the next start is late, and counts it. */
-  consumeLateStart (): boolean {
+  /** Returns whether the next start at an address is late, and counts it. */
+  consumeLateStart (address: string): boolean {
+    if (this.lateStartAddresses.has(address)) return true
     if (this.lateStarts === 0) return false
     this.lateStarts -= 1
     return true
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -185,7 +185,7 @@
     await this._clock.sleepUntil(this._clock.now() + (this.faults.workerLatencies.get(address) ?? WORKER_LATENCY_MILLISECONDS))
     if (headers['expect-instance'] !== worker.id) return this._encode({ status: 421, body: {} })
     const order = JSON.parse(body.toString()) as Record<string, never>
-    if (call === 'run-start' && this.faults.consumeLateStart()) {
+    if (call === 'run-start' && this.faults.consumeLateStart(address)) {
       this._clock.sleepUntil(this._clock.now() + this.faults.lateStartMilliseconds).then(() => worker.handle(call, order)).catch(() => {})
       return null
     }
