Write a possible crash in the record that releases the run

Cause: a lease that expires proves no crash, so the owner kept the worker, its address and the part of its runs in memory until another worker named the address. The rows that released the runs said nothing of it, the bound on the leases was withdrawn with them, and the next owner knew neither. A time or finding that one process alone knows is lost with it.

Evidence, simulated time: in the test at 3800 ms the lease expires at 3786 ms, run 2 starts at once, the owner is killed at 3820 ms, another worker at the address is listed to the next owner at 5870 ms, and run 1 counts for nothing.

Why this works: crashes in a task's row may now name an end that isn't proved (worker, address, incarnation, fleet time until which it can be). The row is the one that releases the run, so no owner can be lost between the two. Such a crash counts for nothing until another incarnation is listed, to whichever owner; a new owner compares those that were listed before the jobs were restored. Rows of older versions have no such element and read as before; older versions can't read a row with it. Worker addresses that refuse connections and are back with the same incarnation are not blamed, also when the owner changes meanwhile (new test).

--- a/src/jobs/task-progress.ts
+++ b/src/jobs/task-progress.ts
@@ -20,7 +20,7 @@
   incarnation: z.number(),
   /** Newest checkpoint; empty for none. */
   checkpoint: z.string(),
-  /** Runs under which their worker crashed. */
+  /** Runs under which their worker crashed, or may have. */
   crashes: z.array(RunCrash)
 })
 export type TaskProgress = z.infer<typeof TaskProgress>
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -112,7 +112,7 @@
     const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, this._fleetTime, clock, metrics, log)
     const outcomes = new StartOutcomeHandler(schedule, scheduledJobs, workerTable, clock, metrics, log)
     const leaseBounds = new LeaseBounds(jobTable, writer, term, this._fleetTime, log)
-    const losses = new WorkerLossHandler(schedule, leaseBounds, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, clock, metrics, log)
+    const losses = new WorkerLossHandler(schedule, scheduledJobs, leaseBounds, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, this._fleetTime, clock, metrics, log)
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock, log), record => WorkerCodec.decode(record), log)
     const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
@@ -124,7 +124,7 @@
       schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, leaseBounds, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
-    const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, placement, clock, log)
+    const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, losses, placement, clock, log)
 
     const owner = this._createSupervisor('owner')
     // Children stop in reverse order: placement before the writer, and the writer before the orders that follow from its last decisions.
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -6,7 +6,9 @@
 import { JobSubmission } from '../jobs/job-submission.js'
 import type { JournalRecord } from '../jobs/journal-record.js'
 import { LeaseRenewals } from '../jobs/lease-renewals.js'
+import type { RunCrash } from '../jobs/run-crash.js'
 import type { TaskProgress } from '../jobs/task-progress.js'
+import { UnprovenEnd } from '../jobs/unproven-end.js'
 import { WaveProgress } from '../jobs/wave-progress.js'
 import { listOf } from '../schemas/list-of.js'
 import type { KeyedRecord } from './keyed-record.js'
@@ -18,13 +20,16 @@
 /** Roles of a run in a crash; the index of a role is its number in a row. */
 const CRASH_ROLES = ['bystander', 'suspect', 'culprit', 'unconfirmed'] as const
 
+/** Run, role, and the end of the worker that isn't proved yet. */
+const CrashRow = z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1), UnprovenEnd.optional()])
+
 /**
  * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, and a 1 if the task waits and every start so far was refused. A compact tuple, because every change
  * rewrites all rows of a step.
  */
 const TaskRow = z.tuple([
   z.number().int().min(0).max(PHASES.length - 1), z.number(), z.array(z.number()), z.string(), z.number(), z.string(),
-  z.array(z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1)])).optional(), z.literal(1).optional()
+  z.array(CrashRow).optional(), z.literal(1).optional()
 ])
 const TaskRows = listOf(TaskRow)
 const TermValue = z.object({
@@ -116,7 +121,7 @@
   private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
     const row: z.infer<typeof TaskRow> = [PHASES.indexOf(phase), run, failedRuns, worker, incarnation, checkpoint]
     const isRefused = run > 0 && !hasBegun
-    if (crashes.length > 0 || isRefused) row[6] = crashes.map(crash => [crash.run, CRASH_ROLES.indexOf(crash.role)])
+    if (crashes.length > 0 || isRefused) row[6] = crashes.map(crash => this._encodeCrash(crash))
     if (isRefused) row[7] = 1
     return row
   }
@@ -130,10 +135,18 @@
       worker,
       incarnation,
       checkpoint,
-      crashes: crashes.map(([crashedRun, role]) => ({ run: crashedRun, role: CRASH_ROLES[role] ?? 'bystander' }))
+      crashes: crashes.map(crash => this._decodeCrash(crash))
     }
   }
 
+  private static _encodeCrash ({ run, role, unprovenEnd }: RunCrash): z.infer<typeof CrashRow> {
+    return unprovenEnd ? [run, CRASH_ROLES.indexOf(role), unprovenEnd] : [run, CRASH_ROLES.indexOf(role)]
+  }
+
+  private static _decodeCrash ([run, role, unprovenEnd]: z.infer<typeof CrashRow>): RunCrash {
+    return { run, role: CRASH_ROLES[role] ?? 'bystander', ...unprovenEnd ? { unprovenEnd } : {} }
+  }
+
   private static _jsonRecord (key: string, document: object): KeyedRecord {
     return { key, value: Buffer.from(JSON.stringify(document), 'utf8') }
   }
--- a/src/scheduling/crash-history.ts
+++ b/src/scheduling/crash-history.ts
@@ -2,6 +2,7 @@
  * The crashes of workers under the runs of one task.
  */
 import type { RunCrash } from '../jobs/run-crash.js'
+import type { UnprovenEnd } from '../jobs/unproven-end.js'
 
 /** Time for which a run must have been running before it isn't suspected of a crash, in milliseconds. */
 const TRIAL_MILLISECONDS = 300
@@ -26,12 +27,29 @@
 
 /** Decides from a task's crashes how its next run starts, and whether there is a next run. */
 export class CrashHistory {
-  /** @param _crashes the crashes that the journal has. */
-  constructor (private _crashes: readonly RunCrash[] = []) {}
+  private _crashes: readonly RunCrash[]
+  /** Crashes that count only once another incarnation of the worker proves them. */
+  private _unproven: readonly RunCrash[]
+
+  /** @param records what the journal has. */
+  constructor (records: readonly RunCrash[] = []) {
+    this._crashes = records.filter(({ unprovenEnd }) => !unprovenEnd)
+    this._unproven = records.filter(({ unprovenEnd }) => unprovenEnd)
+  }
+
+  /** All crashes, also those that aren't proved, as written to the journal. */
+  get records (): readonly RunCrash[] {
+    return [...this._crashes, ...this._unproven]
+  }
 
-  /** The crashes, as written to the journal. */
-  get crashes (): readonly RunCrash[] {
-    return this._crashes
+  /** Number of crashes. */
+  get count (): number {
+    return this._crashes.length
+  }
+
+  /** Whether there are crashes that aren't proved. */
+  get hasUnproven (): boolean {
+    return this._unproven.length > 0
   }
 
   get isEmpty (): boolean {
@@ -62,15 +80,33 @@
   }
 
   /** Records a crash; the crash of a run is counted once. Returns whether it is new. */
-  record (crash: RunCrash): boolean {
-    if (this._crashes.some(({ run }) => run === crash.run)) return false
-    this._crashes = [...this._crashes, crash]
+  record ({ run, role }: RunCrash): boolean {
+    this._unproven = this._unproven.filter(other => other.run !== run)
+    if (this._crashes.some(other => other.run === run)) return false
+    this._crashes = [...this._crashes, { run, role }]
     return true
   }
 
+  /** Records a crash that counts only once it is proved. */
+  recordUnproven (crash: RunCrash): void {
+    if (this.records.some(({ run }) => run === crash.run)) return
+    this._unproven = [...this._unproven, crash]
+  }
+
+  /** Returns the crashes that the end of a worker proves. */
+  provedBy (isEnded: (end: UnprovenEnd) => boolean): readonly RunCrash[] {
+    return this._unproven.filter(({ unprovenEnd }) => unprovenEnd && isEnded(unprovenEnd))
+  }
+
+  /** Forgets the crashes that can't be proved any more at a fleet time. */
+  forgetUnproven (now: number): void {
+    this._unproven = this._unproven.filter(({ unprovenEnd }) => unprovenEnd && unprovenEnd.forgetAt > now)
+  }
+
   /** Forgets the crashes of a task that has been running for long. */
   clear (): void {
     this._crashes = []
+    this._unproven = []
   }
 
   private get _isCulprit (): boolean {
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -115,7 +115,7 @@
     task.step.hasCrashes = true
     task.isolationDeadline = this._clock.now() + ISOLATION_TIMEOUT_MILLISECONDS
     this._metrics.count('runs.crashed', 1, crash.role)
-    this._log.emit('worker crashed under run', { task: task.name, run: crash.run, role: crash.role, crashes: task.crashes.crashes.length, isGivenUp: task.crashes.isExhausted })
+    this._log.emit('worker crashed under run', { task: task.name, run: crash.run, role: crash.role, crashes: task.crashes.count, isGivenUp: task.crashes.isExhausted })
     this._writer.writeStep(task.step)
     this._giveUpIfExhausted(task)
   }
--- a/src/scheduling/pending-decisions.ts
+++ b/src/scheduling/pending-decisions.ts
@@ -3,6 +3,7 @@
  */
 import type { JobJournal } from '../jobs/job-journal.js'
 import type { JournalRecord } from '../jobs/journal-record.js'
+import type { RunCrash } from '../jobs/run-crash.js'
 import type { TaskProgress } from '../jobs/task-progress.js'
 import type { ScheduledStep } from './scheduled-step.js'
 
@@ -10,6 +11,7 @@
 const ROW_BYTES = 80
 const CHARACTER_BYTES = 6
 const RUN_BYTES = 24
+const UNPROVEN_END_BYTES = 120
 
 /** Records of one append, and the callbacks to run once they are durable. */
 interface Batch {
@@ -89,6 +91,10 @@
   /** Returns an upper bound: encoding a large step only for its size would take as long as writing it. */
   private _largestSizeOf (tasks: readonly TaskProgress[]): number {
     return tasks.reduce((sum, { worker, checkpoint, failedRuns, crashes }) =>
-      sum + ROW_BYTES + CHARACTER_BYTES * (worker.length + checkpoint.length) + RUN_BYTES * (failedRuns.length + crashes.length), 0)
+      sum + ROW_BYTES + CHARACTER_BYTES * (worker.length + checkpoint.length) + RUN_BYTES * failedRuns.length + crashes.reduce((bytes, crash) => bytes + this._largestSizeOfCrash(crash), 0), 0)
+  }
+
+  private _largestSizeOfCrash ({ unprovenEnd }: RunCrash): number {
+    return unprovenEnd ? RUN_BYTES + UNPROVEN_END_BYTES + CHARACTER_BYTES * (unprovenEnd.worker.length + unprovenEnd.address.length) : RUN_BYTES
   }
 }
--- a/src/scheduling/scheduled-job-table.ts
+++ b/src/scheduling/scheduled-job-table.ts
@@ -9,6 +9,7 @@
   private readonly _jobs = new Map<string, ScheduledJob>()
   private readonly _active = new Set<ScheduledJob>()
   private readonly _finished = new Set<ScheduledJob>()
+  private readonly _tasksWithUnprovenCrashes = new Set<ScheduledTask>()
 
   /** Jobs of which tasks may still start. */
   get active (): ReadonlySet<ScheduledJob> {
@@ -20,6 +21,11 @@
     return this._jobs.values()
   }
 
+  /** Tasks of active jobs with crashes that aren't proved. */
+  get tasksWithUnprovenCrashes (): ReadonlySet<ScheduledTask> {
+    return this._tasksWithUnprovenCrashes
+  }
+
   /** Returns a job by its ID, or null. */
   job (id: string): ScheduledJob | null {
     return this._jobs.get(id) ?? null
@@ -35,11 +41,19 @@
   add (job: ScheduledJob): void {
     this._jobs.set(job.id, job)
     this._active.add(job)
+    for (const step of job.steps) for (const task of step.tasks) this.updateUnprovenCrashes(task)
+  }
+
+  /** Updates `tasksWithUnprovenCrashes` after a change of a task's crashes. */
+  updateUnprovenCrashes (task: ScheduledTask): void {
+    if (task.crashes.hasUnproven && this._active.has(task.step.job)) this._tasksWithUnprovenCrashes.add(task)
+    else this._tasksWithUnprovenCrashes.delete(task)
   }
 
   /** Marks a job as finished: no more of its tasks start. */
   markFinished (job: ScheduledJob): void {
     this._active.delete(job)
+    for (const task of this._tasksWithUnprovenCrashes) if (task.step.job === job) this._tasksWithUnprovenCrashes.delete(task)
     this._finished.add(job)
   }
 
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -115,7 +115,7 @@
       worker: isPlaced ? this.workerId : '',
       incarnation: isPlaced ? this.incarnation : 0,
       checkpoint: this.phase === 'done' ? '' : this.checkpoint,
-      crashes: this.phase === 'done' ? [] : [...this.crashes.crashes]
+      crashes: this.phase === 'done' ? [] : [...this.crashes.records]
     }
   }
 }
--- a/src/scheduling/takeover-task.ts
+++ b/src/scheduling/takeover-task.ts
@@ -8,6 +8,7 @@
 import { Task } from '../supervision/task.js'
 import type { FleetSchedule } from './fleet-schedule.js'
 import type { LeaseBounds } from './lease-bounds.js'
+import type { WorkerLossHandler } from './worker-loss-handler.js'
 import type { WorkerRegistryFollowerTask } from './worker-registry-follower-task.js'
 import type { WorkerTable } from './worker-table.js'
 
@@ -17,7 +18,7 @@
   private _isDone = false
 
   constructor (
-    private readonly _jobTable: JobTable, private readonly _registry: WorkerRegistryFollowerTask, private readonly _workers: WorkerTable, private readonly _leaseBounds: LeaseBounds, private readonly _schedule: FleetSchedule,
+    private readonly _jobTable: JobTable, private readonly _registry: WorkerRegistryFollowerTask, private readonly _workers: WorkerTable, private readonly _leaseBounds: LeaseBounds, private readonly _schedule: FleetSchedule, private readonly _losses: WorkerLossHandler,
     private readonly _placement: Task, private readonly _clock: Clock, private readonly _log: DecisionLog
   ) {
     super()
@@ -32,6 +33,7 @@
     while (!this._registry.isLoaded && !signal.aborted) await this._registry.changed.wait(this._clock, Infinity, signal)
     if (signal.aborted) return
     for (const job of this._jobTable.jobs) this._restore(job)
+    for (const { entry } of this._workers.all) this._losses.workerListed(entry)
     this._jobTable.observer = this._schedule
     this._leaseBounds.adopt(this._workers.all)
     this._isDone = true
--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -1,6 +1,7 @@
 /**
  * The runs that are lost with their worker.
  */
+import type { FleetTime } from '../jobs/fleet-time.js'
 import type { DecisionLog } from '../observability/decision-log.js'
 import type { Metrics } from '../observability/metrics.js'
 import type { Clock } from '../supervision/clock.js'
@@ -9,30 +10,22 @@
 import type { FleetSchedule } from './fleet-schedule.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { LeaseBounds } from './lease-bounds.js'
+import type { ScheduledJobTable } from './scheduled-job-table.js'
 import type { ScheduledTask } from './scheduled-task.js'
 import type { WorkerEntry } from './worker-entry.js'
 
 /** Age of the registry's view above which a planned end may be missing in it, in milliseconds: for so long a worker announces its shutdown. */
 const MAXIMUM_VIEW_AGE_MILLISECONDS = 2_000
 
-/** Time for which the loss of a worker is kept, to find out whether it had crashed, in milliseconds. */
-const LOSS_RETENTION_MILLISECONDS = 60_000
-
-/** A worker that refused connections until its lease expired: it has crashed if another incarnation takes its place. */
-interface ExpiredWorker {
-  readonly entry: WorkerEntry
-  readonly forgetAt: number
-  readonly crashes: readonly AttributedCrash[]
-}
+/** Time for which a possible crash is kept, to find out whether the worker had crashed, in milliseconds. */
+const UNPROVEN_RETENTION_MILLISECONDS = 60_000
 
 /** Requeues the runs of a worker whose incarnation has ended or whose lease has expired, and records whether it crashed under them. */
 export class WorkerLossHandler {
-  private _expiredWorkers: readonly ExpiredWorker[] = []
-
   /** @param _registryFreshAt returns the epoch milliseconds as of which the registry is known. */
   constructor (
-    private readonly _schedule: FleetSchedule, private readonly _leaseBounds: LeaseBounds, private readonly _attribution: CrashAttributionPolicy, private readonly _registryFreshAt: () => number,
-    private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
+    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _leaseBounds: LeaseBounds, private readonly _attribution: CrashAttributionPolicy, private readonly _registryFreshAt: () => number,
+    private readonly _fleetTime: FleetTime, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {}
 
   /**
@@ -51,25 +44,35 @@
     for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
   }
 
-  /** Handles the expiry of a worker's lease: the worker has killed its runs, or it has ended. */
+  /**
+   * Handles the expiry of a worker's lease: the worker has killed its runs, or it has ended. One that refused connections until then has crashed if another
+   * incarnation takes its place, which a later owner may see.
+   */
   leaseExpired (worker: FleetWorker): void {
     if (worker.tasks.size === 0) return
     const crashes = worker.refusesConnections && this._isUnplanned(worker) ? this._attribution.attribute(worker) : []
     this._logLoss('worker lease expired', worker, 'lease expired', crashes)
+    // In the record that releases the run, so that no owner can be lost between the two.
+    if (!worker.hasSuccessor) for (const crash of crashes) this._recordUnproven(worker, crash)
     for (const task of [...worker.tasks]) this._schedule.runLost(task, 'lease expired')
     if (worker.hasLeaseBound) this._leaseBounds.withdraw(worker)
     if (worker.hasSuccessor) for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
-    else if (crashes.length > 0) this._expiredWorkers = [...this._expiredWorkers, { entry: worker.entry, forgetAt: this._clock.now() + LOSS_RETENTION_MILLISECONDS, crashes }]
   }
 
   /** Records the crashes of a worker whose lease had expired before another incarnation took its place. */
-  workerListed (entry: WorkerEntry): void {
-    if (this._expiredWorkers.length === 0) return
-    const now = this._clock.now()
-    const isSuccessor = (earlier: WorkerEntry): boolean => entry.incarnation > earlier.incarnation && (entry.id === earlier.id || entry.address === earlier.address)
-    const crashed = this._expiredWorkers.filter(({ entry: earlier }) => isSuccessor(earlier))
-    this._expiredWorkers = this._expiredWorkers.filter(expired => expired.forgetAt > now && !crashed.includes(expired))
-    for (const { task, run, role } of crashed.flatMap(({ crashes }) => crashes)) this._schedule.recordCrash(task, { run, role })
+  workerListed ({ id, address, incarnation }: WorkerEntry): void {
+    const now = this._fleetTime.now()
+    for (const task of [...this._jobs.tasksWithUnprovenCrashes]) {
+      task.crashes.forgetUnproven(now)
+      const proved = task.crashes.provedBy(end => incarnation > end.incarnation && (id === end.worker || address === end.address))
+      for (const crash of proved) this._schedule.recordCrash(task, crash)
+      this._jobs.updateUnprovenCrashes(task)
+    }
+  }
+
+  private _recordUnproven ({ entry: { id, address, incarnation } }: FleetWorker, { task, run, role }: AttributedCrash): void {
+    task.crashes.recordUnproven({ run, role, unprovenEnd: { worker: id, address, incarnation, forgetAt: Math.round(this._fleetTime.now()) + UNPROVEN_RETENTION_MILLISECONDS } })
+    this._jobs.updateUnprovenCrashes(task)
   }
 
   /** Whether the worker was not about to end when it became unreachable, as far as the registry was known by then. */
--- a/tests/crashing-tasks.test.ts
+++ b/tests/crashing-tasks.test.ts
@@ -178,6 +178,29 @@
   expect(await fleet.state('two', 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
 })
 
+test('a task whose workers refuse connections until their lease has expired does not fail when the owner is lost then and they are back', async () => {
+  const fleet = await EmulatedFleet.create(3, ['one', 'two'])
+  fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: 30_000, result: 'done' })
+  await fleet.submit('one', 'aaaa', [{}])
+  for (let loss = 1; loss <= 6; loss++) {
+    for (let elapsed = 0; elapsed < 30_000 && !workerOf(fleet, 'aaaa.0.0.0'); elapsed += 50) await fleet.clock.advance(50)
+    await fleet.clock.advance(200)
+    const worker = workerOf(fleet, 'aaaa.0.0.0')
+    if (!worker) throw new Error('the task is not running')
+    worker.isDisconnected = true
+    fleet.emulator.faults.refusedAddresses.add(worker.address)
+    for (let elapsed = 0; elapsed < 30_000 && fleet.starts('aaaa.0.0.0').length === loss; elapsed += 50) await fleet.clock.advance(50)
+    fleet.kill(fleet.owner())
+    fleet.start(`next-${loss}`)
+    worker.isDisconnected = false
+    fleet.emulator.faults.refusedAddresses.clear()
+    await fleet.clock.advance(4_000)
+  }
+  await fleet.clock.advance(45_000)
+  expect(fleet.starts('aaaa.0.0.0').length).toBeGreaterThan(5)
+  expect(await fleet.state(fleet.nonOwner(), 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+})
+
 test('a lasting task is not failed by workers that crash long after its start', async () => {
   const fleet = await EmulatedFleet.create(3, ['one', 'two'])
   fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: Infinity, result: 'done' })
@@ -222,7 +245,7 @@
   expect(fleet.violations()).toEqual([])
 })
 
-test.each([3_100, 3_800])('the count of crashes survives an owner that is killed %i ms after each crash of a worker that is back after 4 s', async delay => {
+test.each([3_100, 3_770, 3_790, 3_800, 3_900])('the count of crashes survives an owner that is killed %i ms after each crash of a worker that is back after 4 s', async delay => {
   const fleet = await EmulatedFleet.create(4, ['one', 'two'])
   fleet.emulator.faults.crashDowntimeMilliseconds = 4_000
   fleet.outcomesByTask.set('dead.0.0.0', CRASH)
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -28,7 +28,11 @@
   worker: fc.string(),
   incarnation: fc.nat(),
   checkpoint: fc.string(),
-  crashes: fc.array(fc.record({ run: fc.nat(), role: fc.constantFrom('bystander' as const, 'suspect' as const, 'culprit' as const, 'unconfirmed' as const) }))
+  crashes: fc.array(fc.record({
+    run: fc.nat(),
+    role: fc.constantFrom('bystander' as const, 'suspect' as const, 'culprit' as const, 'unconfirmed' as const),
+    unprovenEnd: fc.record({ worker: fc.string(), address: fc.string(), incarnation: fc.nat(), forgetAt: fc.nat() })
+  }, { requiredKeys: ['run', 'role'] }))
 }).map(progress => ({ ...progress, hasBegun: progress.run > 0 && (progress.phase !== 'waiting' || progress.hasBegun) }))
 
 test('keyed records decode to what was encoded, and a truncated one is left for the next read', () => {
--- a/tests/takeover-task.test.ts
+++ b/tests/takeover-task.test.ts
@@ -6,6 +6,7 @@
 import type { FleetSchedule } from '../src/scheduling/fleet-schedule.js'
 import type { LeaseBounds } from '../src/scheduling/lease-bounds.js'
 import { TakeoverTask } from '../src/scheduling/takeover-task.js'
+import type { WorkerLossHandler } from '../src/scheduling/worker-loss-handler.js'
 import type { WorkerRegistryFollowerTask } from '../src/scheduling/worker-registry-follower-task.js'
 import type { WorkerTable } from '../src/scheduling/worker-table.js'
 import { Task } from '../src/supervision/task.js'
@@ -39,10 +40,11 @@
   const registry: Pick<WorkerRegistryFollowerTask, 'isLoaded'> = { isLoaded: true }
   const workers: Pick<WorkerTable, 'all'> = { all: [][Symbol.iterator]() }
   const leaseBounds: Pick<LeaseBounds, 'adopt'> = { adopt: () => {} }
+  const losses: Pick<WorkerLossHandler, 'workerListed'> = { workerListed: () => {} }
   const placement = new RecordingTask()
   const log = new RecordingDecisionLog()
   const takeover = new TakeoverTask(
-    jobTable, registry as WorkerRegistryFollowerTask, workers as WorkerTable, leaseBounds as LeaseBounds, schedule as FleetSchedule, placement, clock, log
+    jobTable, registry as WorkerRegistryFollowerTask, workers as WorkerTable, leaseBounds as LeaseBounds, schedule as FleetSchedule, losses as WorkerLossHandler, placement, clock, log
   )
   await takeover.run(new AbortController().signal)
   expect(restored).toEqual(['aaaa', 'cccc'])
