Bound the wait of lasting tasks for trials after crashes

What callers saw: eight tasks that last and were lost twice with their worker, both times within 10 s of their start, were back after 28 s on one worker, 21 s on two and 11 s on three, all empty and calm. A lasting task handed in while eight others were on trial after crashes waited 32 s on the only worker. Cause: a task that was suspected and lost twice waits for a worker without other runs on trial for as long as it takes, and its own trial of three seconds then keeps all others off that worker; at most half of a pool takes part. So they start one after the other, and whatever else needs the worker waits for all of them. Evidence: the four failing cases of the new tests gave these figures before, and are within 6 s now; `with` and `before` passed before as well. No task had two runs at once. Why this works: a lasting task that has found no worker for 2 s shares trials with other lasting ones, unless it was the only suspect of a crash or was in three. One without crashes takes any worker. Lasting tasks, suspected or not, are placed before all others.

--- a/src/scheduling/crash-history.ts
+++ b/src/scheduling/crash-history.ts
@@ -53,6 +53,11 @@
     return this._isCulprit || (this._crashes.length >= CRASHES_BEFORE_LONG_TRIAL && this._crashes.some(({ role }) => role !== 'bystander'))
   }
 
+  /** Whether the task was the only suspect of a crash, or has been in more crashes than one that only ran beside the cause is likely to be. */
+  get isProbableCause (): boolean {
+    return this._isCulprit || this._crashes.length > CRASHES_BEFORE_LONG_TRIAL
+  }
+
   /** Whether the task must not be started again. */
   get isExhausted (): boolean {
     const confirmed = this._crashes.filter(({ role }) => role !== 'unconfirmed')
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -138,6 +138,7 @@
     task.progressPercent = 0
     task.speedPercent = 100
     task.isStopOrdered = false
+    task.overdueAt = Infinity
     this._reservations.reserve(task, worker)
     this._writer.writeStep(task.step, () => this._startRun(task, worker, run))
   }
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -30,6 +30,9 @@
 /** Nothing new is placed on an older view of the journal and of the configuration: it may lack cancellations, withdrawn keys or zone outages. */
 const MAXIMUM_VIEW_AGE_MILLISECONDS = 2_000
 
+/** Time for which a task that lasts waits for more than room on a worker, in milliseconds: it may have waited as long as a lease for its last run to end. */
+const LASTING_TASK_PATIENCE_MILLISECONDS = 2_000
+
 /** What the steps of one round share. */
 interface PlacementRound {
   readonly now: number
@@ -83,9 +86,12 @@
     const round = { now, workersByPool: this._eligibleWorkersByPool(now), unplaceableByPool: new Map<string, Resources[]>(), isolation: new RunIsolation(now) }
     const prioritizedSteps = this._policy.prioritize(startableSteps, now)
     let placed = 0
-    // Suspected tasks choose first: a worker is free of other runs on trial only if it gets no others meanwhile.
-    for (const step of prioritizedSteps) if (step.hasCrashes) placed += this._placeStep(step, round, true)
-    for (const step of prioritizedSteps) placed += this._placeStep(step, round, false)
+    for (const steps of [prioritizedSteps.filter(({ definition }) => definition.isLasting), prioritizedSteps.filter(({ definition }) => !definition.isLasting)]) {
+      // Suspected tasks choose first: a worker is free of other runs on trial only if it gets no others meanwhile.
+      for (const step of steps) if (step.hasCrashes) placed += this._placeStep(step, round, true)
+      for (const step of steps) placed += this._placeStep(step, round, false)
+    }
+    for (const step of prioritizedSteps) if (step.definition.isLasting) for (const task of step.waitingTasks) task.overdueAt = Math.min(task.overdueAt, now + LASTING_TASK_PATIENCE_MILLISECONDS)
     if (placed > 0) this._metrics.count('placement.placed', placed)
     this._metrics.timing('placement.round.milliseconds', this._clock.now() - now)
   }
--- a/src/scheduling/run-isolation.ts
+++ b/src/scheduling/run-isolation.ts
@@ -12,7 +12,8 @@
 
 /**
  * Keeps other starts away from a worker while a suspected run is on trial there, in one placement round. A suspected task for which no worker is free
- * of other runs on trial has one withheld, which gets nothing else until it is.
+ * of other runs on trial has one withheld, which gets nothing else until it is. A task that lasts and is overdue
+ * doesn't wait for trials of its like: it shares them unless it is probably the cause of the crashes.
  */
 export class RunIsolation {
   private readonly _withheld = new Set<FleetWorker>()
@@ -27,12 +28,16 @@
 
   /** Whether the task may start on a worker beside the runs that are there. */
   permits (task: ScheduledTask, worker: FleetWorker): boolean {
-    if (this._withheld.has(worker) || worker.blocksStartOf(task)) return false
+    if (task.crashes.isEmpty && task.isOverdue(this._now)) return true
+    if (this._withheld.has(worker)) return false
+    if (this._sharesTrials(task) && [...worker.tasks].every(other => !other.isOnTrial || other.step.definition.isLasting)) return true
+    if (worker.blocksStartOf(task)) return false
     return !this.applies(task) || [...worker.tasks].every(other => !other.isOnTrial || other.isolationGroup === task.isolationGroup)
   }
 
   /** Whether another worker of a pool may take part in a trial. */
   hasRoom (workers: readonly FleetWorker[], task: ScheduledTask): boolean {
+    if (this._sharesTrials(task)) return true
     const busy = workers.filter(worker => this._withheld.has(worker) || worker.blocksStartOf(task)).length
     return busy < Math.max(1, Math.floor(workers.length * MAXIMUM_TRIAL_FRACTION))
   }
@@ -72,4 +77,9 @@
     }
     if (best) this.withhold(best)
   }
+
+  /** Whether a task may start beside lasting tasks that are on trial. */
+  private _sharesTrials (task: ScheduledTask): boolean {
+    return task.isOverdue(this._now) && !task.crashes.isProbableCause
+  }
 }
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -29,6 +29,8 @@
   readonly crashes: CrashHistory
   /** Epoch milliseconds until which the task, suspected after a crash, waits for a worker without other runs on trial. */
   isolationDeadline = 0
+  /** Epoch milliseconds from which a waiting task that lasts takes any worker with room; Infinity before a placement round has found none for it. */
+  overdueAt = Infinity
   /** Whether nothing else may start on the worker while the current run is on trial. */
   isIsolated = false
   /** Worker on which the task has a reservation, or null; an unlisted worker keeps its tasks until its lease has expired. */
@@ -98,6 +100,11 @@
     return this.step.definition.isLasting && this.worker !== null && this.startOrderedAt !== 0 && this.startOrderedAt + STABLE_MILLISECONDS <= this.worker.lastReportAt
   }
 
+  /** Whether the task lasts and has waited for so long that only the room on a worker matters. */
+  isOverdue (now: number): boolean {
+    return this.step.definition.isLasting && this.overdueAt <= now
+  }
+
   /** Records a failed run; a run is counted once. */
   recordFailure (run: number): void {
     if (!this.failedRuns.includes(run)) this.failedRuns = [...this.failedRuns, run]
--- a/tests/lasting-task-waits.test.ts
+++ b/tests/lasting-task-waits.test.ts
@@ -2,6 +2,7 @@
  * Tests of how long lasting tasks wait for a start while there is room for them and their owner goes on.
  */
 import { expect, test } from 'vitest'
+import type { EmulatedWorker } from '../stand-ins/emulator/emulated-worker.js'
 import { EmulatedFleet } from './support/emulated-fleet.js'
 
 /** Time without a run after which a task may count as lost, in milliseconds. */
@@ -12,6 +13,24 @@
   for (let index = 0; index < tasks; index++) fleet.outcomesByTask.set(`${job}.0.0.${index}`, { milliseconds: Infinity, result: 'done' })
 }
 
+/** The worker incarnations that run tasks of a job. */
+function workersOf (fleet: EmulatedFleet, job: string): EmulatedWorker[] {
+  return fleet.emulator.workerIncarnations.filter(({ running, isTerminated }) => !isTerminated && running.some(task => task.startsWith(`${job}.`)))
+}
+
+/** Crashes the worker of a job's tasks, soon after their start and again, and brings it back under its ID. */
+async function crashTwice (fleet: EmulatedFleet, job: string): Promise<void> {
+  await fleet.clock.advance(100)
+  for (const pause of [6_000, 0]) {
+    const [worker] = workersOf(fleet, job)
+    if (!worker) throw new Error('nothing is running')
+    fleet.emulator.crash(worker)
+    await fleet.clock.advance(1_000)
+    fleet.emulator.restart(worker)
+    await fleet.clock.advance(pause)
+  }
+}
+
 /** Advances time, and returns the longest time for which any task of a job's first step was without a run, in milliseconds. Fails if a task has two runs at once. */
 async function longestWait (fleet: EmulatedFleet, job: string, tasks: number, milliseconds: number): Promise<number> {
   const waits = Array<number>(tasks).fill(0)
@@ -38,3 +57,29 @@
   expect(await longestWait(fleet, 'aaaa', 2, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
   expect(first?.starts).toEqual([])
 })
+
+// Guards against trials one after the other, each of which keeps the other tasks waiting.
+test.each([1, 2, 3])('lasting tasks that were lost twice with their worker do not wait for trials of each other, with %i workers', async workers => {
+  const fleet = await EmulatedFleet.create(workers, ['one'], 1, false)
+  letLast(fleet, 'aaaa', 8)
+  await fleet.submit('one', 'aaaa', [{ count: 8, isLasting: true }])
+  await crashTwice(fleet, 'aaaa')
+  expect(await longestWait(fleet, 'aaaa', 8, 40_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
+})
+
+// Guards against a worker that is withheld from a lasting task by one trial after the other.
+test.each(['before', 'with', 'after the crashes of'] as const)('a lasting task that starts %s others does not wait for their trials on the only worker', async when => {
+  const fleet = await EmulatedFleet.create(1, ['one'], 1, false)
+  letLast(fleet, 'aaaa', 1)
+  letLast(fleet, 'bbbb', 8)
+  if (when === 'before') await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  await fleet.clock.advance(2_000)
+  if (when === 'with') await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  await fleet.submit('one', 'bbbb', [{ count: 8 }])
+  await crashTwice(fleet, 'bbbb')
+  if (when === 'after the crashes of') {
+    await fleet.clock.advance(500)
+    await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  }
+  expect(await longestWait(fleet, 'aaaa', 1, 40_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
+})
