Tell the age of a lasting run by its worker's clock

Callers saw a lasting job shown as failed although nothing was wrong with it: four workers had crashed under it, each when its run had lasted 13 s, and each within 10 s of a change of owner.

Cause: crashes are forgotten, and not counted, once a run has lasted for 10 s, and each owner began to count these 10 s when it first saw the run. A time that one process alone knows begins anew with the next one.

Why this works: the row of a placed task that lasts has the reading of its worker's clock at the placement, and the first report to an owner tells how much later that clock is. Neither fleet time nor any owner's clock matters, so that two owners' times needn't agree, and a restart of all processes changes nothing. The reading is the latest that the clock can show, and a clock may be 2% fast. So that the age is never taken for much longer than it is, a run that isn't started within 3 s of its placement, as in an outage of the store, is placed anew. Rows of older versions have no reading; there the time begins with the first report, as before. Another incarnation of the worker makes the reading void. It costs one number in the rows of placed lasting tasks, and no write.

A lasting task that crashes its workers 2 s after each start is still given up after at most five starts when owners are killed 300 and 3000 ms after each start (new). A crash before the worker's first report to a new owner still counts (FAULTS.md).

--- a/src/jobs/task-progress.ts
+++ b/src/jobs/task-progress.ts
@@ -18,6 +18,8 @@
   worker: z.string(),
   /** Incarnation of that worker: epoch milliseconds of its start. */
   incarnation: z.number(),
+  /** Reading of that worker's clock when the run was decided on, in milliseconds; only of a placed task that lasts, and missing in records of older versions. */
+  placedAtClock: z.number().optional(),
   /** Newest checkpoint; empty for none. */
   checkpoint: z.string(),
   /** Runs under which their worker crashed, or may have. */
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -24,12 +24,12 @@
 const CrashRow = z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1), UnprovenEnd.optional()])
 
 /**
- * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, and a 1 if the task waits and every start so far was refused. A compact tuple, because every change
- * rewrites all rows of a step.
+ * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, a 1 if the task waits and every start so far was refused, and the worker's clock at the placement. A compact tuple, because
+ * every change rewrites all rows of a step.
  */
 const TaskRow = z.tuple([
   z.number().int().min(0).max(PHASES.length - 1), z.number(), z.array(z.number()), z.string(), z.number(), z.string(),
-  z.array(CrashRow).optional(), z.literal(1).optional()
+  z.array(CrashRow).optional(), z.literal([0, 1]).optional(), z.number().optional()
 ])
 const TaskRows = listOf(TaskRow)
 const TermValue = z.object({
@@ -118,22 +118,25 @@
     return [this._jsonRecord(`over/${job}`, { queue, state }), ...keys.map(key => ({ key, value: TOMBSTONE }))]
   }
 
-  private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
+  private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, placedAtClock, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
     const row: z.infer<typeof TaskRow> = [PHASES.indexOf(phase), run, failedRuns, worker, incarnation, checkpoint]
     const isRefused = run > 0 && !hasBegun
-    if (crashes.length > 0 || isRefused) row[6] = crashes.map(crash => this._encodeCrash(crash))
-    if (isRefused) row[7] = 1
+    const isTimed = placedAtClock !== undefined
+    if (crashes.length > 0 || isRefused || isTimed) row[6] = crashes.map(crash => this._encodeCrash(crash))
+    if (isRefused || isTimed) row[7] = isRefused ? 1 : 0
+    if (isTimed) row[8] = placedAtClock
     return row
   }
 
-  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint, crashes = [], isRefused]: z.infer<typeof TaskRow>): TaskProgress {
+  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint, crashes = [], isRefused = 0, placedAtClock]: z.infer<typeof TaskRow>): TaskProgress {
     return {
       phase: PHASES[phase] ?? 'waiting',
       run,
-      hasBegun: run > 0 && isRefused === undefined,
+      hasBegun: run > 0 && isRefused === 0,
       failedRuns,
       worker,
       incarnation,
+      ...placedAtClock === undefined ? {} : { placedAtClock },
       checkpoint,
       crashes: crashes.map(crash => this._decodeCrash(crash))
     }
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -26,6 +26,9 @@
 /** Time for which a task that is suspected after one crash waits for a worker without other runs on trial. */
 const ISOLATION_TIMEOUT_MILLISECONDS = 1_500
 
+/** Time after its placement up to which a run starts whose age later owners take from there, in milliseconds. */
+const MAXIMUM_START_DELAY_MILLISECONDS = 3_000
+
 /** Every change to a task's phase or worker assignment goes through this class, so that reservations on workers and in team usage always match the schedule. */
 export class FleetSchedule extends JobObserver {
   /** Wakes the placement task after a change that may make a task placeable. */
@@ -128,18 +131,10 @@
 
   /** Places a task on a worker; the start order is sent once the decision is durable. Members of a gang share a run number. */
   place (task: ScheduledTask, worker: FleetWorker, run = task.run + 1): void {
-    task.phase = 'placed'
-    task.run = run
-    task.workerId = worker.entry.id
-    task.incarnation = worker.entry.incarnation
-    task.runState = 'intended'
-    task.confirmedAt = Infinity
-    task.startOrderedAt = 0
-    task.progressPercent = 0
-    task.speedPercent = 100
-    task.isStopOrdered = false
+    const now = this._clock.now()
+    task.beginRun(worker, run, now)
     this._reservations.reserve(task, worker)
-    this._writer.writeStep(task.step, () => this._startRun(task, worker, run))
+    this._writer.writeStep(task.step, () => this._startRun(task, worker, run, now))
   }
 
   /** Sends a stop order for the run of a placed task. The task is requeued once the run has ended. */
@@ -185,15 +180,17 @@
     this._reservations.reserve(task, worker)
   }
 
-  private _startRun (task: ScheduledTask, worker: FleetWorker, run: number): void {
+  private _startRun (task: ScheduledTask, worker: FleetWorker, run: number, placedAt: number): void {
     if (task.run !== run || task.worker !== worker || task.runState !== 'intended') return
-    if (task.step.job.isFinished || !this._workers.mayStart(worker, this._clock.now()) || worker.isOvercommitted) {
+    const now = this._clock.now()
+    const isLate = task.placedAtClock > 0 && now > placedAt + MAXIMUM_START_DELAY_MILLISECONDS
+    if (task.step.job.isFinished || isLate || !this._workers.mayStart(worker, now) || worker.isOvercommitted) {
       if (task.step.definition.isGang) this.stopOtherGangMembers(task)
       this.requeue(task)
       return
     }
     task.runState = 'starting'
-    task.startOrderedAt = this._clock.now()
+    task.startOrderedAt = now
     this._metrics.count('runs.started')
     this._dispatcher.start(task, worker)
   }
--- a/src/scheduling/pending-decisions.ts
+++ b/src/scheduling/pending-decisions.ts
@@ -8,7 +8,7 @@
 import type { ScheduledStep } from './scheduled-step.js'
 
 /** Upper bounds on the encoded size of a task's progress and its parts, in bytes. */
-const ROW_BYTES = 80
+const ROW_BYTES = 110
 const CHARACTER_BYTES = 6
 const RUN_BYTES = 24
 const UNPROVEN_END_BYTES = 120
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -3,6 +3,7 @@
  */
 import type { Resources } from '../jobs/resources.js'
 import type { TaskProgress } from '../jobs/task-progress.js'
+import { WORKER_CLOCK_RATE } from '../jobs/worker-clock-rate.js'
 import { CrashHistory } from './crash-history.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { ScheduledStep } from './scheduled-step.js'
@@ -41,6 +42,10 @@
   confirmedAt = Infinity
   /** Epoch milliseconds at which the start order of the current run was sent, or of the first report if another owner sent it; 0 before. */
   startOrderedAt = 0
+  /** Reading of the worker's clock when the current run was decided on, in milliseconds; 0 if unknown, and for tasks that don't last. */
+  placedAtClock: number
+  /** Time for which the current run had been active when this owner first saw it, in milliseconds. */
+  private _earlierMilliseconds = 0
   /** Progress or readiness that the worker last reported. */
   progressPercent = 0
   /** Load that the worker last reported: milliseconds of response time for a serving task, millicores in use for others. */
@@ -58,6 +63,7 @@
     this.checkpoint = progress?.checkpoint ?? ''
     this.workerId = progress?.worker ?? ''
     this.incarnation = progress?.incarnation ?? 0
+    this.placedAtClock = progress?.placedAtClock ?? 0
     this.crashes = new CrashHistory(progress?.crashes)
   }
 
@@ -95,7 +101,33 @@
 
   /** Whether the current run of a task that lasts has been running for so long that earlier crashes don't matter. */
   get isStable (): boolean {
-    return this.step.definition.isLasting && this.worker !== null && this.startOrderedAt !== 0 && this.startOrderedAt + STABLE_MILLISECONDS <= this.worker.lastReportAt
+    return this.step.definition.isLasting && this.worker !== null && this.startOrderedAt !== 0 && this.startOrderedAt - this._earlierMilliseconds + STABLE_MILLISECONDS <= this.worker.lastReportAt
+  }
+
+  /** Begins a run on a worker; nothing of it has been sent yet. */
+  beginRun (worker: FleetWorker, run: number, now: number): void {
+    this.phase = 'placed'
+    this.run = run
+    this.workerId = worker.entry.id
+    this.incarnation = worker.entry.incarnation
+    this.placedAtClock = this.step.definition.isLasting ? worker.clockEstimate.readLatest(now) : 0
+    this.runState = 'intended'
+    this.confirmedAt = Infinity
+    this.startOrderedAt = 0
+    this._earlierMilliseconds = 0
+    this.progressPercent = 0
+    this.speedPercent = 100
+    this.isStopOrdered = false
+  }
+
+  /** Records that the worker reports the current run. For how long it has been active if another owner started it, the worker's clock tells. */
+  recordReported (now: number, workerClock: number): void {
+    this.hasBegun = true
+    if (this.runState === 'inherited' || this.runState === 'starting') this.runState = 'running'
+    this.confirmedAt = Math.min(this.confirmedAt, now)
+    if (this.startOrderedAt !== 0) return
+    this.startOrderedAt = now
+    if (this.placedAtClock > 0) this._earlierMilliseconds = Math.max(0, workerClock - this.placedAtClock) / WORKER_CLOCK_RATE.fastest
   }
 
   /** Records a failed run; a run is counted once. */
@@ -114,6 +146,7 @@
       failedRuns: [...this.failedRuns],
       worker: isPlaced ? this.workerId : '',
       incarnation: isPlaced ? this.incarnation : 0,
+      ...isPlaced && this.placedAtClock > 0 ? { placedAtClock: this.placedAtClock } : {},
       checkpoint: this.phase === 'done' ? '' : this.checkpoint,
       crashes: this.phase === 'done' ? [] : [...this.crashes.records]
     }
--- a/src/scheduling/worker-clock-estimate.ts
+++ b/src/scheduling/worker-clock-estimate.ts
@@ -36,6 +36,11 @@
     return { earliest: this.isKnown ? this._earliest + elapsed * WORKER_CLOCK_RATE.slowest : 0, latest: this._latest + elapsed * WORKER_CLOCK_RATE.fastest }
   }
 
+  /** Returns the latest that the clock can show at the given epoch milliseconds, in whole milliseconds; 0 if unknown. */
+  readLatest (now: number): number {
+    return this.isKnown ? Math.ceil(this.read(now).latest) : 0
+  }
+
   /** Returns whether a report of the time `clock`, received at the given epoch milliseconds, shows that the owner's clock has stood still since an earlier one. */
   isContradictedBy (clock: number, receivedAt: number): boolean {
     return clock > this.read(receivedAt).latest + CONTRADICTION_TOLERANCE_MILLISECONDS
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -88,22 +88,19 @@
     }
   }
 
-  private _applyActiveRuns (worker: FleetWorker, { running, isComplete }: WorkerReport, requestedAt: number): void {
+  private _applyActiveRuns (worker: FleetWorker, { clock, running, isComplete }: WorkerReport, requestedAt: number): void {
     const activeRunsByTask = new Map(running.map(activeRun => [activeRun.task, activeRun]))
     for (const task of [...worker.tasks]) {
       const activeRun = activeRunsByTask.get(task.name)
-      if (activeRun?.run === task.run) this._confirmRun(task, activeRun)
+      if (activeRun?.run === task.run) this._confirmRun(task, activeRun, clock)
       else if (isComplete && (task.runState === 'inherited' || task.confirmedAt < requestedAt)) this._schedule.runLost(task, 'not reported by its worker')
       // The earlier stop order may have failed along with the connection; only a confirmed stop shows that the run can no longer start.
       else if (task.runState === 'settling') this._dispatcher.stop(worker, task.name, task.run)
     }
   }
 
-  private _confirmRun (task: ScheduledTask, activeRun: ActiveRun): void {
-    task.hasBegun = true
-    if (task.runState === 'inherited' || task.runState === 'starting') task.runState = 'running'
-    task.confirmedAt = Math.min(task.confirmedAt, this._clock.now())
-    if (task.startOrderedAt === 0) task.startOrderedAt = this._clock.now()
+  private _confirmRun (task: ScheduledTask, activeRun: ActiveRun, workerClock: number): void {
+    task.recordReported(this._clock.now(), workerClock)
     if (task.isStable && !task.crashes.isEmpty) this._schedule.clearCrashes(task)
     if (activeRun.checkpoint !== '') task.checkpoint = activeRun.checkpoint
     task.progressPercent = activeRun.percent
@@ -152,7 +149,11 @@
     const lost = [...worker.tasks].filter(task => !survivors.includes(task) && task.runState !== 'starting' && task.runState !== 'settling' && task.runState !== 'intended')
     this._losses.incarnationEnded(worker, 'worker restarted', lost, survivors)
     worker.startIncarnation(incarnation, this._workers.unknownLeasesExpireAt)
-    for (const task of worker.tasks) if (task.runState !== 'intended') task.incarnation = incarnation
+    for (const task of worker.tasks) {
+      if (task.runState === 'intended') continue
+      task.incarnation = incarnation
+      task.placedAtClock = 0
+    }
     this._schedule.markChanged()
   }
 }
--- a/tests/crash-attribution.test.ts
+++ b/tests/crash-attribution.test.ts
@@ -79,6 +79,23 @@
   expect(roles(worker)).toEqual(['0 bystander', '0 bystander'])
 })
 
+test.each([
+  ['ten seconds by its clock, even one that is 2% fast', 10_200, true],
+  ['less', 10_100, false],
+  ['an unknown time, as after an owner of an older version', null, false]
+])('a lasting run that another owner had placed on the worker is stable after %s', (_, age, isStable) => {
+  const worker = createWorker()
+  const tasks = createTasks({ isLasting: true })
+  const [task] = tasks
+  run(worker, tasks, 0, 'inherited')
+  Object.assign(task ?? {}, { startOrderedAt: 0, placedAtClock: age === null ? 0 : 50_000 })
+  task?.recordReported(HEARD_AT, 50_000 + (age ?? 0))
+  expect(task?.isStable).toBe(isStable)
+  expect(task?.isOnTrial).toBe(true)
+  worker.recordReport(50_000, HEARD_AT + 10_000, HEARD_AT + 10_000)
+  expect(task?.isStable).toBe(true)
+})
+
 test('a task is given up before it could be started three times more after three crashes, whatever its part in them', () => {
   const crashRoles = fc.array(fc.constantFrom('bystander' as const, 'suspect' as const, 'culprit' as const, 'unconfirmed' as const), { minLength: 5, maxLength: 5 })
   fc.assert(fc.property(crashRoles, crashes => {
--- a/tests/crashing-tasks.test.ts
+++ b/tests/crashing-tasks.test.ts
@@ -280,3 +280,42 @@
   expect(await fleet.state(fleet.nonOwner(), 'aaaa')).toEqual({ kind: 'state', state: 'running' })
   expect(fleet.violations()).toEqual([])
 })
+
+test.each([300, 3_000])('a lasting task that crashes its worker 2 s after each start is given up although the owner is killed %i ms after each start', async delay => {
+  const fleet = await EmulatedFleet.create(4, ['one', 'two', 'three'])
+  fleet.outcomesByTask.set('dead.0.0.0', { milliseconds: 2_000, result: 'crash' })
+  await fleet.submit('one', 'dead', [{ isLasting: true }])
+  for (let crash = 1; crash <= 8; crash++) {
+    for (let elapsed = 0; elapsed < 30_000 && mostStarts(fleet, 'dead', 1) < crash; elapsed += 50) await fleet.clock.advance(50)
+    if (mostStarts(fleet, 'dead', 1) < crash) break
+    await fleet.clock.advance(delay)
+    fleet.kill(fleet.owner())
+    fleet.start(`next-${crash}`)
+    await fleet.clock.advance(1_000)
+  }
+  await fleet.clock.advance(30_000)
+  expect(mostStarts(fleet, 'dead', 1)).toBeLessThanOrEqual(MAXIMUM_STARTS)
+  expect(await fleet.state(fleet.nonOwner(), 'dead')).toEqual({ kind: 'state', state: 'failed' })
+})
+
+test('a lasting run whose placement takes seconds to write is placed anew, since later owners take its age from there', async () => {
+  const fleet = await EmulatedFleet.create(3, ['one', 'two'])
+  fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: Infinity, result: 'done' })
+  const log = fleet.nodes.get(fleet.owner())?.log
+  if (!log) throw new Error('no owner')
+  // The store is away from the moment of the placement.
+  const emit = log.emit.bind(log)
+  log.emit = (event, fields) => {
+    emit(event, fields)
+    if (event === 'runs placed' && log.fieldsOf(event).length === 1) fleet.emulator.faults.refusalStatus = 503
+  }
+  await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  await fleet.clock.advance(1_000)
+  expect(log.fieldsOf('runs placed')).toHaveLength(1)
+  expect(fleet.starts('aaaa.0.0.0')).toEqual([])
+  await fleet.clock.advance(4_000)
+  fleet.emulator.faults.refusalStatus = 0
+  await fleet.clock.advance(3_000)
+  expect(fleet.starts('aaaa.0.0.0').map(({ run }) => run)).toEqual([2])
+  expect(await fleet.state(fleet.nonOwner(), 'aaaa')).toEqual({ kind: 'state', state: 'running' })
+})
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -32,8 +32,9 @@
     run: fc.nat(),
     role: fc.constantFrom('bystander' as const, 'suspect' as const, 'culprit' as const, 'unconfirmed' as const),
     unprovenEnd: fc.record({ worker: fc.string(), address: fc.string(), incarnation: fc.nat(), forgetAt: fc.nat() })
-  }, { requiredKeys: ['run', 'role'] }))
-}).map(progress => ({ ...progress, hasBegun: progress.run > 0 && (progress.phase !== 'waiting' || progress.hasBegun) }))
+  }, { requiredKeys: ['run', 'role'] })),
+  placedAtClock: fc.nat()
+}, { requiredKeys: ['phase', 'run', 'hasBegun', 'failedRuns', 'worker', 'incarnation', 'checkpoint', 'crashes'] }).map(progress => ({ ...progress, hasBegun: progress.run > 0 && (progress.phase !== 'waiting' || progress.hasBegun) }))
 
 test('keyed records decode to what was encoded, and a truncated one is left for the next read', () => {
   const record = fc.record({ key: fc.string({ maxLength: 60 }), value: fc.uint8Array({ maxLength: 200 }).map(bytes => Buffer.from(bytes)) })
