Let overdue lasting tasks start on workers where runs have failed

What callers saw: a task that lasts, handed in while the runs of eight other jobs failed one after the other on the only worker, began 8.9 s later, with room for it all the while. Cause: after two failed runs in a row a worker gets nothing new for 4 s, and each further failure begins that time anew, also of runs that had started before. Nothing told tasks without a limit on their failures from others, and a worker that is the only one from one of many. With the 5.3 s that a lease takes to expire, even a single cooldown exceeds what a lasting task may wait. Why this works: the time after failed runs is kept apart from the one after a refused start. A lasting task that has found no worker for 2 s takes a worker with room in spite of it, if there is no other, and isn't passed over for what other tasks didn't find. Ordinary tasks, which have a limited number of attempts, wait as before, and no lasting task is moved to such a worker.

--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -30,8 +30,10 @@
   unreadableRows = 0
   /** Whether the worker gets nothing new because its VM is needed for maintenance or a move. */
   isCordoned = false
-  /** Epoch milliseconds until which the worker gets nothing new after failed runs or a refused order. */
+  /** Epoch milliseconds until which the worker gets nothing new after a refused order. */
   cooldownUntil = 0
+  /** Epoch milliseconds until which the worker gets nothing new after failed runs, unless it has the only room for an overdue task. */
+  distrustedUntil = 0
   /** Epoch milliseconds until which other workers go before it, because a start got no response. */
   avoidedUntil = 0
   /** Epoch milliseconds since which the worker may be unreachable: it gets nothing new before a later report. */
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -155,9 +155,10 @@
 
   private _placeTasks (tasks: readonly ScheduledTask[], workers: readonly FleetWorker[], unplaceable: Resources[], isolation: RunIsolation): ScheduledTask[] {
     const placed: ScheduledTask[] = []
+    const now = this._clock.now()
     for (const task of tasks) {
       const { requiredLabel, maximumPerWorker } = task.step.definition
-      if (unplaceable.some(demand => fitsWithin(demand, task.reservation))) break
+      if (!task.isOverdue(now) && unplaceable.some(demand => fitsWithin(demand, task.reservation))) break
       if (!this._isWithinUpperLimit(task)) break
       const candidates = this._candidateWorkers(task, workers, isolation)
       const worker = task.crashes.isEmpty ? this._policy.chooseWorker(task, candidates) : isolation.choose(candidates)
@@ -231,10 +232,13 @@
 
   private _workersWithCapacity (task: ScheduledTask, workers: readonly FleetWorker[]): FleetWorker[] {
     const { requiredLabel, maximumPerWorker } = task.step.definition
-    return workers.filter(worker =>
+    const now = this._clock.now()
+    const suitable = workers.filter(worker =>
       worker.hasCapacityFor(task.reservation) &&
       (requiredLabel === '' || worker.entry.labels.includes(requiredLabel)) &&
       (maximumPerWorker === 0 || this._countOnWorker(task, worker) < maximumPerWorker))
+    const trusted = suitable.filter(({ distrustedUntil }) => distrustedUntil <= now)
+    return trusted.length === 0 && task.isOverdue(now) ? suitable : trusted
   }
 
   private _countOnWorker (task: ScheduledTask, worker: FleetWorker): number {
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -134,8 +134,8 @@
     if (result !== 'failed') return
     worker.consecutiveFailures += 1
     if (worker.consecutiveFailures < FAILURES_BEFORE_COOLDOWN) return
-    worker.cooldownUntil = this._clock.now() + COOLDOWN_MILLISECONDS
-    this._log.emit('worker in cooldown', { worker: worker.entry.id, failuresInRow: worker.consecutiveFailures, until: Math.round(worker.cooldownUntil) })
+    worker.distrustedUntil = this._clock.now() + COOLDOWN_MILLISECONDS
+    this._log.emit('worker in cooldown', { worker: worker.entry.id, failuresInRow: worker.consecutiveFailures, until: Math.round(worker.distrustedUntil) })
   }
 
   /**
--- a/tests/lasting-task-waits.test.ts
+++ b/tests/lasting-task-waits.test.ts
@@ -83,3 +83,40 @@
   }
   expect(await longestWait(fleet, 'aaaa', 1, 40_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
 })
+
+// Guards against a cooldown that keeps a lasting task off the only worker, and that each failure of a run which began before it makes longer.
+test('a lasting task does not wait for a worker on which runs of other jobs fail one after the other', async () => {
+  const fleet = await EmulatedFleet.create(1, ['one'], 1, false)
+  letLast(fleet, 'aaaa', 1)
+  for (let job = 1; job <= 8; job++) {
+    fleet.outcomesByTask.set(`fail${job}.0.0.0`, { milliseconds: job * 1_000, result: 'failed' })
+    await fleet.submit('one', `fail${job}`, [{}])
+  }
+  await fleet.clock.advance(3_100)
+  await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  expect(await longestWait(fleet, 'aaaa', 1, 20_000)).toBeLessThan(3_000)
+})
+
+// Guards against a worker that gets a failing task again without any pause.
+test('a lasting task that always fails on the only worker is started again at a bounded rate', async () => {
+  const fleet = await EmulatedFleet.create(1, ['one'], 1, false)
+  fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: 50, result: 'failed' })
+  await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  await fleet.clock.advance(20_000)
+  const starts = fleet.starts('aaaa.0.0.0').map(({ at }) => at)
+  expect(starts.length).toBeLessThan(15)
+  expect(Math.max(...starts.slice(1).map((at, index) => at - (starts[index] ?? 0)))).toBeLessThan(LOST_AFTER_MILLISECONDS)
+})
+
+// Guards against a lasting task that is passed over because another one, which has to wait longer, found no worker in the same round.
+test('a lasting task does not wait for others that fail again and again on the only worker', async () => {
+  const fleet = await EmulatedFleet.create(1, ['one'], 1, false)
+  letLast(fleet, 'aaaa', 1)
+  for (let job = 1; job <= 6; job++) {
+    fleet.outcomesByTask.set(`fail${job}.0.0.0`, { milliseconds: job * 370, result: 'failed' })
+    await fleet.submit('one', `fail${job}`, [{ isLasting: true }])
+  }
+  await fleet.clock.advance(10_000)
+  await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  expect(await longestWait(fleet, 'aaaa', 1, 20_000)).toBeLessThan(3_000)
+})
