Ask for advice for lasting tasks first

What callers saw: a task that lasts, on a queue whose workers are advised on, began 14.4 s after it was handed in, behind 30 ordinary jobs, with four empty workers. The same holds for one that has lost its worker: advice is asked for again then, since tickets expire. Cause: a process makes one call to the advice service at a time, and made them in the order in which steps asked, while placement takes lasting tasks first. Evidence: the test failed before with 14.4 s and is within 3 s now; in it, each call takes 0.5 s. Why this works: the next call is the longest waiting one of a step with lasting tasks, if there is one. So such a step waits for at most one call of others. Its own failed call doesn't keep the others waiting: it asks again only in a later round.

--- a/src/scheduling/advice-task.ts
+++ b/src/scheduling/advice-task.ts
@@ -38,7 +38,7 @@
   readonly queue: JobQueue
 }
 
-/** Makes one call at a time. While a call for a step is pending, further requests for that step are ignored. */
+/** Makes one call at a time, those for lasting tasks first, as placement does. While a call for a step is pending, further requests for that step are ignored. */
 export class AdviceTask extends Task {
   override readonly name = 'advice'
   private readonly _wake = new Notifier()
@@ -77,7 +77,7 @@
 
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const [request] = this._pendingRequests.values()
+      const request = this._nextRequest()
       if (!request || !this._advisor) {
         await this._wake.wait(this._clock, Infinity, signal)
         continue
@@ -88,6 +88,12 @@
     }
   }
 
+  /** Returns the request that has waited longest, of steps with lasting tasks first; undefined if there is none. */
+  private _nextRequest (): AdviceRequest | undefined {
+    const requests = [...this._pendingRequests.values()]
+    return requests.find(({ step }) => step.definition.isLasting) ?? requests[0]
+  }
+
   private async _call (advisor: Advisor, { step, workers, queue }: AdviceRequest, signal: AbortSignal): Promise<void> {
     const adviceTiming = queue.advice
     const requestedAt = this._clock.now()
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -56,6 +56,8 @@
   /** Delay of a late start, in milliseconds. */
   lateStartMilliseconds = 3_000
 
+  /** Time that a call to the advice service takes, in milliseconds. */
+  adviceMilliseconds = 0
   /** Addresses at which connections are refused although a worker is there. */
   readonly refusedAddresses = new Set<string>()
   /** Time after which a worker that a run has crashed is back, in milliseconds. */
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -172,6 +172,7 @@
     if (address === VIRTUAL_MACHINES_ADDRESS && (call === 'machine-move' || call === 'machine-upkeep')) {
       return this._encode(this.virtualMachines.order(call, JSON.parse(body.toString()) as { machine: string }, headers['lease-holder'] ?? '', Number(headers['fencing-token'])))
     }
+    if (address === ADVICE_ADDRESS) await this._clock.sleepUntil(this._clock.now() + this.faults.adviceMilliseconds)
     if (address === ADVICE_ADDRESS) return this._advise(JSON.parse(body.toString()) as { workers: string[] })
     const allowedCallers = this.faults.allowedCallers.get(address)
     if (allowedCallers && !allowedCallers.has(request.caller)) return null
--- a/tests/lasting-task-waits.test.ts
+++ b/tests/lasting-task-waits.test.ts
@@ -120,3 +120,15 @@
   await fleet.submit('one', 'aaaa', [{ isLasting: true }])
   expect(await longestWait(fleet, 'aaaa', 1, 20_000)).toBeLessThan(3_000)
 })
+
+// Guards against calls to the advice service that are made in the order in which they were asked for.
+test('a lasting task does not wait for the advice that other jobs have asked for', async () => {
+  const fleet = await EmulatedFleet.create(4, ['one'], 1, false)
+  fleet.configure({ advice: true, hasStandby: false })
+  await fleet.clock.advance(1_000)
+  fleet.emulator.faults.adviceMilliseconds = 500
+  letLast(fleet, 'aaaa', 1)
+  for (let job = 0; job < 30; job++) await fleet.submit('one', `job${job}`, [{}])
+  await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  expect(await longestWait(fleet, 'aaaa', 1, 30_000)).toBeLessThan(3_000)
+})
