Return a worker to use when the platform refuses its maintenance

What callers saw: a task that lasts didn't run for 20 s, the length of the test, beside an empty worker that answered. Cause: before its maintenance a VM is locked and its worker cordoned. If the platform says that the VM isn't of that wave, or doesn't exist, the wave went on without it, but kept lock and cordon for the rest of the term: the worker got nothing new, and no pool could have the VM. Evidence: the test failed before and passes now. The tests of waves pass. Why this works: a refusal that won't change ends the VM's part in the wave, as its return does, and is now followed by the same release. An order of which the outcome is unknown keeps the cordon, since it may still be carried out.

--- a/src/capacity/wave-task.ts
+++ b/src/capacity/wave-task.ts
@@ -148,7 +148,16 @@
     this._log.emit('maintenance ordered', { virtualMachine: id, wave: wave.wave, term: this._term, outcome: error?.kind ?? 'done', detail: error?.message ?? '' })
     if (error?.kind === 'fenced') return this._onFenced(`VM ${id}: ${error.message}`)
     if (!error) this._recordConfirmation(wave, id, order)
-    if (error?.kind === 'not-in-wave' || error?.kind === 'missing') order.hasReturned = true
+    if (error?.kind !== 'not-in-wave' && error?.kind !== 'missing') return
+    order.hasReturned = true
+    this._reopen(id)
+  }
+
+  /** Releases a VM, so that its worker gets new tasks. */
+  private _reopen (id: string): void {
+    this._locks.release(id, 'wave')
+    const worker = this._workerOf(id)
+    if (worker) worker.isCordoned = false
   }
 
   /** Records when the VM will have returned at the latest, so that no next owner orders its maintenance and counts the time again. */
@@ -167,9 +176,7 @@
     const returnVisibleFrom = order.completedAt + this._timings.maintenanceMilliseconds + LIST_LAG_ALLOWANCE_MILLISECONDS
     if (order.hasReturned || order.completedAt === 0 || listed?.state !== 'up' || this._inventory.listedAt < returnVisibleFrom) return
     order.hasReturned = true
-    this._locks.release(id, 'wave')
-    const worker = this._workerOf(id)
-    if (worker) worker.isCordoned = false
+    this._reopen(id)
     this._recordProgress({ ...progress, begun: [...new Set([...progress.begun, id])] })
   }
 
--- a/stand-ins/emulator/emulated-virtual-machines.ts
+++ b/stand-ins/emulator/emulated-virtual-machines.ts
@@ -40,6 +40,8 @@
   readonly arrivedOrders: VirtualMachineOrder[] = []
   /** VMs that the next list lacks, as if they had changed their place between two pages. */
   readonly missingInNextList = new Set<string>()
+  /** Waves of which no VM is a member, as far as the platform knows. */
+  readonly unknownWaves = new Set<number>()
   /** Rows of another form that each list has beside its own. */
   readonly oddRows: unknown[] = []
 
@@ -72,6 +74,7 @@
     virtualMachine.highestToken = Math.max(virtualMachine.highestToken, token)
     const isDone = call === 'machine-move' ? virtualMachine.pool === body.pool : virtualMachine.completedWaves.has(body.wave ?? 0)
     if (isDone) return { status: 200, body: {} }
+    if (call === 'machine-upkeep' && this.unknownWaves.has(body.wave ?? 0)) return { status: 409, body: { reason: 'wave' } }
     if (virtualMachine.state !== 'up') return { status: 409, body: { reason: 'busy' } }
     this.orders.push(order)
     this._stopWorker(virtualMachine)
--- a/tests/lasting-task-waits.test.ts
+++ b/tests/lasting-task-waits.test.ts
@@ -132,3 +132,14 @@
   await fleet.submit('one', 'aaaa', [{ isLasting: true }])
   expect(await longestWait(fleet, 'aaaa', 1, 30_000)).toBeLessThan(3_000)
 })
+
+// Guards against a worker that stays cordoned although its VM isn't taken down.
+test('a lasting task does not wait for a worker whose maintenance the platform has refused', async () => {
+  const fleet = await EmulatedFleet.create(1, ['one'], 1, false)
+  letLast(fleet, 'aaaa', 1)
+  fleet.emulator.virtualMachines.unknownWaves.add(1)
+  fleet.emulator.publish('wave/1', { wave: 1, machines: ['m-0'], duration_s: 60, max_count: 1 })
+  await fleet.clock.advance(2_000)
+  await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  expect(await longestWait(fleet, 'aaaa', 1, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
+})
