Give a VM back to its pool when the platform refuses to move it for now

What callers saw: four tasks that last, at most one on a worker, handed in while the platform refused orders to VMs with 503, did not run for 20 s, the length of the test, with five empty workers that answered. Cause: a VM that its pool doesn't need is cordoned and ordered to move; a refused order was repeated every half second and the cordon kept, for as long as that lasted. What the pool needed meanwhile didn't count, since a VM that is being moved counts for its destination. Why this works: 429 and 503 mean that nothing was done. Unless an earlier order of the move has an unknown outcome, the move ends, the worker is no longer cordoned, and the next attempt, half a second later at the earliest, is decided on anew. For maintenance waves the cordon stays while orders are refused: their VMs have to go in any case.

--- a/src/capacity/pool-sizing-task.ts
+++ b/src/capacity/pool-sizing-task.ts
@@ -46,6 +46,8 @@
   completedAt: number
   /** Whether an order awaits its response. */
   isInFlight: boolean
+  /** Whether the outcome of an order is unknown, so that it may still be carried out. */
+  isUncertain: boolean
 }
 
 /** Compares each pool with its desired size and moves VMs without tasks. Shortages are filled from the standby pool first; VMs that no pool needs return to it. */
@@ -54,6 +56,8 @@
   private readonly _moves = new Map<string, Move>()
   /** Moves that the platform can't carry out, as `VM POOL`. */
   private readonly _rejectedMoves = new Set<string>()
+  /** Epoch milliseconds before which a VM of which the platform has refused the move for now isn't moved, by VM. */
+  private readonly _postponedUntil = new Map<string, number>()
   private readonly _maximumOrdersPerRound: number
 
   /** @param ordersPerSecond order rate that the platform accepts from all processes together. */
@@ -150,14 +154,14 @@
 
   private _isMovable (candidate: FleetVirtualMachine, to: string): boolean {
     return candidate.state === 'up' && this._locks.holder(candidate.id) === null && this._locks.isOrderAllowed(candidate.id) &&
-      !this._configuration.isZoneOut(candidate.availabilityZone) && !this._rejectedMoves.has(`${candidate.id} ${to}`)
+      !this._configuration.isZoneOut(candidate.availabilityZone) && !this._rejectedMoves.has(`${candidate.id} ${to}`) && (this._postponedUntil.get(candidate.id) ?? 0) <= this._clock.now()
   }
 
   private _startMove (candidate: FleetVirtualMachine, to: string, now: number, signal: AbortSignal): void {
     if (!this._locks.acquire(candidate.id, 'move')) return
     const worker = this._workers.find(candidate.worker)
     if (worker) worker.isCordoned = true
-    const move: Move = { virtualMachine: candidate.id, from: candidate.pool, to, startedAt: now, sentAt: 0, completedAt: 0, isInFlight: false }
+    const move: Move = { virtualMachine: candidate.id, from: candidate.pool, to, startedAt: now, sentAt: 0, completedAt: 0, isInFlight: false, isUncertain: false }
     this._moves.set(candidate.id, move)
     this._metrics.count('capacity.moves', 1, to)
     this._advance(move, now, signal)
@@ -196,7 +200,12 @@
     }
     if (error.kind === 'fenced') return this._onFenced(`VM ${move.virtualMachine}: ${error.message}`)
     if (error.kind === 'missing') this._rejectedMoves.add(`${move.virtualMachine} ${move.to}`)
-    if (error.kind === 'missing' || error.kind === 'busy') this._finish(move, error.kind)
+    if (error.kind === 'missing' || error.kind === 'busy') return this._finish(move, error.kind)
+    if (error.kind === 'unknown') move.isUncertain = true
+    if (move.isUncertain) return
+    // Nothing was done: the pool has the VM until the next attempt, for which it may not be the right one any more.
+    this._postponedUntil.set(move.virtualMachine, this._clock.now() + RETRY_DELAY_MILLISECONDS)
+    this._finish(move, error.kind)
   }
 
   private _finish (move: Move, result: string): void {
--- a/stand-ins/emulator/emulated-virtual-machines.ts
+++ b/stand-ins/emulator/emulated-virtual-machines.ts
@@ -40,6 +40,8 @@
   readonly arrivedOrders: VirtualMachineOrder[] = []
   /** VMs that the next list lacks, as if they had changed their place between two pages. */
   readonly missingInNextList = new Set<string>()
+  /** Whether every order is refused without any effect. */
+  refusesOrders = false
   /** Waves of which no VM is a member, as far as the platform knows. */
   readonly unknownWaves = new Set<number>()
   /** Rows of another form that each list has beside its own. */
@@ -66,6 +68,7 @@
 
   /** Executes an order and returns the status and body of the response. */
   order (call: 'machine-move' | 'machine-upkeep', body: { machine: string, pool?: string, wave?: number }, holder: string, token: number): { status: number, body: object } {
+    if (this.refusesOrders) return { status: 503, body: {} }
     const virtualMachine = this.byId.get(body.machine)
     if (!virtualMachine) return { status: 400, body: {} }
     const order = { virtualMachine: virtualMachine.id, holder, token, executedAt: this._clock.now() }
--- a/tests/lasting-task-waits.test.ts
+++ b/tests/lasting-task-waits.test.ts
@@ -143,3 +143,16 @@
   await fleet.submit('one', 'aaaa', [{ isLasting: true }])
   expect(await longestWait(fleet, 'aaaa', 1, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
 })
+
+// Guards against workers that stay cordoned for a move that the platform does not carry out.
+test('lasting tasks do not wait for workers that the platform refuses to move away', async () => {
+  const fleet = new EmulatedFleet(1)
+  for (let count = 0; count < 5; count++) fleet.emulator.addVirtualMachine('work', 'a')
+  fleet.configure()
+  fleet.emulator.virtualMachines.refusesOrders = true
+  fleet.start('one')
+  await fleet.clock.advance(4_000)
+  letLast(fleet, 'aaaa', 4)
+  await fleet.submit('one', 'aaaa', [{ count: 4, isLasting: true, maximumPerWorker: 1 }])
+  expect(await longestWait(fleet, 'aaaa', 4, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
+})
