Let racks, zones and halves of pools fall silent in the lease series

Callers see the same fault as in the tests of a silent rack: a lasting task without a run for 10 to 12 s. The series couldn't meet it, since they silence one or two of five workers, and three of five named ones have to be silent.

A second draw makes a fleet of 5 to 16 workers in up to three pools and two or three zones of up to three racks, listed by rack or in any order, and silences a rack, a zone, half of one or two pools or half of the fleet, but for one worker of each pool at least. Disturbances, owner's ends, one-way cuts, frozen owners and slow clocks are those that the narrow series of the same seed draws. Bounds, the check for two runs at once and the demand that a process and room are left hold in both; in wide fleets each pool needs a worker that can be reached.

In seeds 97 and 224 more than half of all workers are silent, so that naming more of them can't prove that the predecessor doesn't resume; the users' bound holds for them as well.

--- a/tests/lease-series.test.ts
+++ b/tests/lease-series.test.ts
@@ -5,14 +5,23 @@
 import { describeSeries } from './support/lease-series/describe-series.js'
 import { DisturbedFleet } from './support/lease-series/disturbed-fleet.js'
 import { drawSeries } from './support/lease-series/draw-series.js'
+import { drawWideSeries } from './support/lease-series/draw-wide-series.js'
 import { OWNER_ENDS } from './support/lease-series/owner-ends.js'
 import { playSeries } from './support/lease-series/play-series.js'
 import { seriesFindings } from './support/lease-series/series-findings.js'
+import type { SeriesPlan } from './support/lease-series/series-plan.js'
 import { WORKER_SILENCES } from './support/lease-series/worker-silences.js'
 
 /** Seeds of the series: `FIRST-LAST` in the environment variable plays others by hand. */
 const [FIRST_SEED = 1, LAST_SEED = 24] = (process.env['LEASE_SERIES_SEEDS'] ?? '1-24').split('-').map(Number)
 
+/** The same of the series with wide silences. */
+const [FIRST_WIDE_SEED = 1, LAST_WIDE_SEED = 8] = (process.env['WIDE_LEASE_SERIES_SEEDS'] ?? '1-8').split('-').map(Number)
+
+/** Seeds of such series in which most of the workers that the owner's record named were silent: at most half of the workers, or more. */
+const SEEDS_WITH_SILENT_NAMES = [80, 152, 279, 320, 338]
+const SEEDS_WITH_SILENT_MAJORITY = [97, 224]
+
 /** Number of series in a test. */
 const SERIES_PER_TEST = 4
 
@@ -103,14 +112,34 @@
   await expectNoTaskLost(disturbed)
 })
 
-const firstSeeds = Array.from({ length: Math.ceil((LAST_SEED - FIRST_SEED + 1) / SERIES_PER_TEST) }, (_, index) => FIRST_SEED + index * SERIES_PER_TEST)
+function firstSeeds (first: number, last: number): number[] {
+  return Array.from({ length: Math.ceil((last - first + 1) / SERIES_PER_TEST) }, (_, index) => first + index * SERIES_PER_TEST)
+}
 
-test.each(firstSeeds)('lasting tasks are not lost, and don\'t run twice at once, in series of silent workers, owners that end and a store that fails (four seeds from %i on)', async firstSeed => {
+async function expectNoFindings (firstSeed: number, lastSeed: number, draw: (seed: number) => SeriesPlan): Promise<void> {
   const findings: string[] = []
-  for (let seed = firstSeed; seed < firstSeed + SERIES_PER_TEST && seed <= LAST_SEED; seed++) {
-    const plan = drawSeries(seed)
+  for (let seed = firstSeed; seed < firstSeed + SERIES_PER_TEST && seed <= lastSeed; seed++) {
+    const plan = draw(seed)
     const found = seriesFindings(await playSeries(plan))
     if (found.length > 0) findings.push(describeSeries(plan), ...found)
   }
   expect(findings, findings.join('\n')).toEqual([])
+}
+
+test.each(firstSeeds(FIRST_SEED, LAST_SEED))('lasting tasks are not lost, and don\'t run twice at once, in series of silent workers, owners that end and a store that fails (four seeds from %i on)', async firstSeed => {
+  await expectNoFindings(firstSeed, LAST_SEED, drawSeries)
+})
+
+// Guards against a wait that workers of one rack, zone or pool prolong because they fall silent together.
+test.each(firstSeeds(FIRST_WIDE_SEED, LAST_WIDE_SEED))('lasting tasks are not lost, and don\'t run twice at once, in series of racks, zones and halves of pools that fall silent (four seeds from %i on)', async firstSeed => {
+  await expectNoFindings(firstSeed, LAST_WIDE_SEED, drawWideSeries)
+})
+
+// Guards against the same wait in series that met it.
+test.each(SEEDS_WITH_SILENT_NAMES)('lasting tasks are not lost when most workers that the owner\'s record named are silent, but at most half of all (wide series of seed %i)', async seed => {
+  await expectNoFindings(seed, seed, drawWideSeries)
+})
+
+test.each(SEEDS_WITH_SILENT_MAJORITY)('lasting tasks are not lost when more than half of all workers are silent (wide series of seed %i)', async seed => {
+  await expectNoFindings(seed, seed, drawWideSeries)
 })
--- a/tests/support/lease-series/describe-series.ts
+++ b/tests/support/lease-series/describe-series.ts
@@ -7,7 +7,7 @@
 export function describeSeries ({ seed, silence, silentWorkers, ownerEnd, store, ownerKills }: SeriesPlan): string {
   const during = ({ kind: { name }, at, until }: { kind: { name: string }, at: number, until: number }): string => `${name} from ${at}${until === Infinity ? '' : ` to ${until}`}`
   const parts = [
-    `${silentWorkers === 1 ? 'a worker' : `${silentWorkers} workers`} ${during(silence)}`,
+    `${silentWorkers.toString()} ${during(silence)}`,
     `owner ${during(ownerEnd)}`,
     `store ${store ? during(store) : 'fine'}`,
     ...ownerKills.map(({ killAfter, restartAfter }) => `next owner killed after ${killAfter}${restartAfter === Infinity ? '' : `, restarted ${restartAfter} later`}`)
--- a/tests/support/lease-series/disturbed-fleet.ts
+++ b/tests/support/lease-series/disturbed-fleet.ts
@@ -45,7 +45,8 @@
   private _actions: ScheduledAction[] = []
   private _newestTerm: number
 
-  private constructor (readonly fleet: EmulatedFleet) {
+  /** @param workers workers of the VMs of a fleet that was planned in detail. */
+  private constructor (readonly fleet: EmulatedFleet, readonly workers: ReadonlyMap<PlannedMachine, EmulatedWorker> = new Map()) {
     this.calm = new CalmRecord(fleet)
     this._newestTerm = this._latestTerm().term
   }
@@ -80,7 +81,7 @@
     await fleet.clock.advance(STEADY_MILLISECONDS)
     pools.makeRoom()
     await fleet.clock.advance(STEADY_MILLISECONDS)
-    return new DisturbedFleet(fleet)
+    return new DisturbedFleet(fleet, pools.workers)
   }
 
   get now (): number {
--- a/tests/support/lease-series/disturbed-pools.ts
+++ b/tests/support/lease-series/disturbed-pools.ts
@@ -1,6 +1,7 @@
 /**
  * The pools of a fleet that is disturbed, and their lasting tasks.
  */
+import type { EmulatedWorker } from '../../../stand-ins/emulator/emulated-worker.js'
 import type { EmulatedFleet } from '../emulated-fleet.js'
 import type { PlannedMachine } from './planned-machine.js'
 
@@ -20,13 +21,16 @@
 /** Adds VMs such that the registry lists their workers in the order in which they are planned, configures a queue for each pool, and submits a job of lasting tasks to it. */
 export class DisturbedPools {
   private readonly _names: readonly string[]
+  private readonly _workers = new Map<PlannedMachine, EmulatedWorker>()
 
   constructor (private readonly _fleet: EmulatedFleet, private readonly _machines: readonly PlannedMachine[]) {
     this._names = [...new Set(_machines.map(({ pool }) => pool))]
     if (this._names.length > JOBS.length) throw new Error('too many pools')
-    for (const { pool, zone, rack, clockRate } of this._inOrderOfCreation()) {
-      const worker = _fleet.emulator.addVirtualMachine(pool, zone, rack)
-      if (worker) worker.clockRate = clockRate
+    for (const machine of this._inOrderOfCreation()) {
+      const worker = _fleet.emulator.addVirtualMachine(machine.pool, machine.zone, machine.rack)
+      if (!worker) continue
+      worker.clockRate = machine.clockRate
+      this._workers.set(machine, worker)
     }
     const others = this._names.filter(name => name !== FIRST_POOL)
     _fleet.configure({
@@ -36,6 +40,10 @@
     })
   }
 
+  get workers (): ReadonlyMap<PlannedMachine, EmulatedWorker> {
+    return this._workers
+  }
+
   /** Submits as many lasting tasks to each pool as it has workers. */
   async submitLastingTasks (process: string): Promise<void> {
     for (const [index, pool] of this._names.entries()) {
--- a/tests/support/lease-series/draw-series.ts
+++ b/tests/support/lease-series/draw-series.ts
@@ -1,11 +1,12 @@
 /**
  * Draws plans of series.
  */
-import type { RandomSource } from '../../../src/supervision/random-source.js'
 import { SeededRandomSource } from '../../../src/supervision/seeded-random-source.js'
-import type { Disturbance } from './disturbance.js'
+import { BusiestWorkers } from './busiest-workers.js'
+import { Draw } from './draw.js'
 import { OWNER_ENDS } from './owner-ends.js'
 import type { SeriesPlan } from './series-plan.js'
+import { SmallFleet } from './small-fleet.js'
 import { STORE_FAILURES } from './store-failures.js'
 import { WORKER_SILENCES } from './worker-silences.js'
 
@@ -31,37 +32,6 @@
 const WORKERS = 5
 const CLOCK_RATES = [0.98, 1, 1.02] as const
 
-/** Number of draws after which the sequences of neighbouring seeds differ. */
-const SKIPPED_DRAWS = 20
-
-/** Draws numbers and items from a random source. */
-class Draw {
-  constructor (private readonly _random: RandomSource) {
-    for (let count = 0; count < SKIPPED_DRAWS; count++) _random.next()
-  }
-
-  isTrue (): boolean {
-    return this._random.integer(2) === 0
-  }
-
-  within ([low, high]: readonly [number, number]): number {
-    return low + this._random.integer(high - low + 1)
-  }
-
-  item<Item> (items: readonly Item[]): Item {
-    const item = items[this._random.integer(items.length)]
-    if (item === undefined) throw new Error('nothing to draw from')
-    return item
-  }
-
-  /** Draws one of several kinds and its end. */
-  disturbance<Subject> (kinds: readonly Disturbance<Subject>[], at: number, durations: readonly [number, number]): { kind: Disturbance<Subject>, at: number, until: number } {
-    const kind = this.item(kinds)
-    const lasts = kind.end === 'none' || (kind.end === 'either' && this.isTrue())
-    return { kind, at, until: lasts ? Infinity : at + this.within(durations) }
-  }
-}
-
 /**
  * Draws the plan of a seed: silence, owner's end, failure of the store and further ends of owners, at any distance of each other.
  *
@@ -77,10 +47,10 @@
   return {
     seed,
     silence: draw.disturbance(silences, silentAt, SILENCE_MILLISECONDS),
-    silentWorkers: draw.within([1, 2]),
+    silentWorkers: new BusiestWorkers(draw.within([1, 2])),
     ownerEnd: draw.disturbance(ownerEnds, ownerEndsAt, OWNER_AWAY_MILLISECONDS),
     store: draw.isTrue() ? draw.disturbance(STORE_FAILURES, storeFailsAt, STORE_FAILURE_MILLISECONDS) : null,
     ownerKills: Array.from({ length: ownerKills }, () => ({ killAfter: draw.within(OWNER_KILLED_MILLISECONDS), restartAfter: draw.isTrue() ? Infinity : draw.within(OWNER_RESTARTED_MILLISECONDS) })),
-    clockRates: Array.from({ length: WORKERS }, () => draw.item(CLOCK_RATES))
+    fleet: new SmallFleet(Array.from({ length: WORKERS }, () => draw.item(CLOCK_RATES)))
   }
 }
--- a/tests/support/lease-series/play-series.ts
+++ b/tests/support/lease-series/play-series.ts
@@ -1,16 +1,13 @@
 /**
  * Plays series of disturbances.
  */
-import { DisturbedFleet } from './disturbed-fleet.js'
+import type { DisturbedFleet } from './disturbed-fleet.js'
 import type { SeriesPlan } from './series-plan.js'
 import type { SeriesResult } from './series-result.js'
 
 /** Names of the processes; one more than a series can end for good. */
 const PROCESSES = ['one', 'two', 'three', 'four', 'five']
 
-/** Number of lasting tasks: they fit on two workers. */
-const TASKS = 4
-
 /** Time after the last action in which runs may still lapse: an owner without the store has renewed their leases meanwhile. */
 const LAPSE_MILLISECONDS = 12_000
 
@@ -21,13 +18,12 @@
 const END_STEP_MILLISECONDS = 500
 
 /** Plays a series until all tasks run again, or for long enough to tell that they don't. */
-export async function playSeries ({ seed, silence, silentWorkers, ownerEnd, store, ownerKills, clockRates }: SeriesPlan): Promise<SeriesResult> {
-  const disturbed = await DisturbedFleet.create(seed, PROCESSES, clockRates, TASKS)
+export async function playSeries ({ seed, silence, silentWorkers, ownerEnd, store, ownerKills, fleet: plannedFleet }: SeriesPlan): Promise<SeriesResult> {
+  const disturbed = await plannedFleet.create(seed, PROCESSES)
   const { fleet, now: startedAt } = disturbed
   const firstBusyWorkers = disturbed.busyWorkers
   disturbed.schedule(startedAt + silence.at, () => {
-    const busiestFirst = new Set([...disturbed.busyWorkers, ...firstBusyWorkers])
-    silence.kind.begin(disturbed, [...busiestFirst].slice(0, silentWorkers), startedAt + silence.until)
+    silence.kind.begin(disturbed, silentWorkers.choose(disturbed, firstBusyWorkers), startedAt + silence.until)
   })
   if (store) disturbed.schedule(startedAt + store.at, () => store.kind.begin(disturbed, null, startedAt + store.until))
   disturbed.schedule(startedAt + ownerEnd.at, () => {
@@ -39,12 +35,11 @@
     }
   })
   do await disturbed.playUntil(disturbed.now + END_STEP_MILLISECONDS)
-  while (disturbed.hasActions || !isOver(disturbed))
-  const hasRoom = fleet.emulator.workerIncarnations.some(({ isTerminated, isDisconnected, running }) => !isTerminated && !isDisconnected && running.length < 2)
-  return { gaps: disturbed.gaps(), lateGaps: disturbed.lateGaps(), violations: fleet.violations(), isServable: disturbed.calm.isServable && hasRoom }
+  while (disturbed.hasActions || !isOver(disturbed, plannedFleet.tasks))
+  return { gaps: disturbed.gaps(), lateGaps: disturbed.lateGaps(), violations: fleet.violations(), isServable: disturbed.calm.isServable && plannedFleet.hasRoom(disturbed) }
 }
 
-function isOver ({ lastActionAt, now, busyWorkers }: DisturbedFleet): boolean {
+function isOver ({ lastActionAt, now, busyWorkers }: DisturbedFleet, tasks: number): boolean {
   const running = busyWorkers.reduce((sum, { running }) => sum + running.length, 0)
-  return now >= lastActionAt + (running === TASKS ? LAPSE_MILLISECONDS : LONGEST_END_MILLISECONDS)
+  return now >= lastActionAt + (running === tasks ? LAPSE_MILLISECONDS : LONGEST_END_MILLISECONDS)
 }
--- a/tests/support/lease-series/print-series-table.ts
+++ b/tests/support/lease-series/print-series-table.ts
@@ -1,11 +1,12 @@
 /**
  * Plays series by hand and prints a table of the times between runs; fails if a task ran again too late, or had two runs at once.
  *
- * usage: print-series-table --mode single|all --first SEED --series COUNT
+ * usage: print-series-table --mode single|all --fleet small|wide --first SEED --series COUNT
  */
 import { parseArgs } from 'node:util'
 import { describeSeries } from './describe-series.js'
 import { drawSeries } from './draw-series.js'
+import { drawWideSeries } from './draw-wide-series.js'
 import { OWNER_ENDS } from './owner-ends.js'
 import { playSeries } from './play-series.js'
 import { seriesFindings } from './series-findings.js'
@@ -13,14 +14,16 @@
 import { SeriesTable } from './series-table.js'
 import { WORKER_SILENCES } from './worker-silences.js'
 
-const { values: { mode, first, series } } = parseArgs({ options: { mode: { type: 'string', default: 'single' }, first: { type: 'string', default: '1' }, series: { type: 'string', default: '300' } } })
+const { values: { mode, fleet, first, series } } = parseArgs({ options: { mode: { type: 'string', default: 'single' }, fleet: { type: 'string', default: 'small' }, first: { type: 'string', default: '1' }, series: { type: 'string', default: '300' } } })
+
+const draw = fleet === 'wide' ? drawWideSeries : drawSeries
 
 /** Returns the plan of a seed. In mode `single` the store doesn't fail, only the first owner ends, and the kinds come by turns. */
 function planOf (seed: number): SeriesPlan {
-  if (mode !== 'single') return drawSeries(seed)
+  if (mode !== 'single') return draw(seed)
   const silence = WORKER_SILENCES[seed % WORKER_SILENCES.length]
   const ownerEnd = OWNER_ENDS[Math.floor(seed / WORKER_SILENCES.length) % OWNER_ENDS.length]
-  return { ...drawSeries(seed, silence && [silence], ownerEnd && [ownerEnd]), store: null, ownerKills: [] }
+  return { ...draw(seed, silence && [silence], ownerEnd && [ownerEnd]), store: null, ownerKills: [] }
 }
 
 const table = new SeriesTable()
--- a/tests/support/lease-series/series-plan.ts
+++ b/tests/support/lease-series/series-plan.ts
@@ -3,6 +3,8 @@
  */
 import type { EmulatedWorker } from '../../../stand-ins/emulator/emulated-worker.js'
 import type { Disturbance } from './disturbance.js'
+import type { SeriesFleet } from './series-fleet.js'
+import type { SilentWorkers } from './silent-workers.js'
 
 /** When a disturbance begins and ends, in milliseconds from the start of the series; Infinity if it lasts. */
 interface PlannedDisturbance<Subject> {
@@ -15,13 +17,11 @@
 export interface SeriesPlan {
   readonly seed: number
   readonly silence: PlannedDisturbance<readonly EmulatedWorker[]>
-  /** Number of busy workers that fall silent. */
-  readonly silentWorkers: number
+  readonly silentWorkers: SilentWorkers
   readonly ownerEnd: PlannedDisturbance<string>
   /** Null if the store doesn't fail. */
   readonly store: PlannedDisturbance<null> | null
   /** The next owners, by turns: how long after its term has begun each is killed, and how long after that it is started again, in milliseconds. */
   readonly ownerKills: readonly { readonly killAfter: number, readonly restartAfter: number }[]
-  /** Rates of the workers' clocks. */
-  readonly clockRates: readonly number[]
+  readonly fleet: SeriesFleet
 }
--- a/tests/support/lease-series/series-table.ts
+++ b/tests/support/lease-series/series-table.ts
@@ -1,5 +1,5 @@
 /**
- * A table of the times between runs, by kind of silence and of owner's end.
+ * A table of the times between runs, by kind of silence, of silent workers and of owner's end.
  */
 import type { SeriesPlan } from './series-plan.js'
 import type { SeriesResult } from './series-result.js'
@@ -20,8 +20,8 @@
   private readonly _rows = new Map<string, Row>()
 
   /** Adds a series to the row of its kinds, and to that of all series. */
-  add ({ silence, ownerEnd }: SeriesPlan, { gaps, lateGaps, violations }: SeriesResult): void {
-    for (const key of [`${silence.kind.name} | ${ownerEnd.kind.name}`, `${silence.kind.name} | any`, `any | ${ownerEnd.kind.name}`, 'any | any']) {
+  add ({ silence, silentWorkers, ownerEnd }: SeriesPlan, { gaps, lateGaps, violations }: SeriesResult): void {
+    for (const key of [`${silence.kind.name} | ${ownerEnd.kind.name}`, `${silence.kind.name} | any`, `any | ${ownerEnd.kind.name}`, `${silentWorkers.name} | any`, 'any | any']) {
       const row = this._rows.get(key) ?? { times: [], late: 0, violations: 0 }
       this._rows.set(key, row)
       row.times.push(...gaps.map(({ endedAt, nextStartAt }) => nextStartAt - endedAt))
