--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -47,6 +47,7 @@
 import { TeamUsage } from '../scheduling/team-usage.js'
 import { UrgencyPlacementPolicy } from '../scheduling/urgency-placement-policy.js'
 import { WorkerRegistryFollowerTask } from '../scheduling/worker-registry-follower-task.js'
+import { InheritedLeases } from '../scheduling/inherited-leases.js'
 import { LeaseBounds } from '../scheduling/lease-bounds.js'
 import { LeaseRenewalPermit } from '../scheduling/lease-renewal-permit.js'
 import { LeaseRenewalTask } from '../scheduling/lease-renewal-task.js'
@@ -106,13 +107,13 @@
       (worker, task, run) => new StopRunTask(worker, task, run, outcomes, onLost, clock, random, log)
     )
     const advice: AdviceTask = new AdviceTask(this._advisor, () => schedule.markChanged(), clock, metrics, log)
-    const workerTable: WorkerTable = new WorkerTable(configuration, leaseMilliseconds, earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
+    const workerTable: WorkerTable = new WorkerTable(configuration, new InheritedLeases(leaseMilliseconds, earlierOwners, clock, log), earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
     const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, this._fleetTime, clock, metrics, log)
     const outcomes = new StartOutcomeHandler(schedule, scheduledJobs, workerTable, clock, metrics, log)
     const leaseBounds = new LeaseBounds(jobTable, writer, term, this._fleetTime, log)
-    const losses = new WorkerLossHandler(schedule, leaseBounds, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, clock, metrics, log)
+    const losses = new WorkerLossHandler(schedule, scheduledJobs, leaseBounds, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, this._fleetTime, clock, metrics, log)
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock, log), record => WorkerCodec.decode(record), log)
     const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
@@ -124,7 +125,7 @@
       schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, leaseBounds, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
-    const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, placement, clock, log)
+    const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, losses, placement, clock, log)
 
     const owner = this._createSupervisor('owner')
     // Children stop in reverse order: placement before the writer, and the writer before the orders that follow from its last decisions.
