Play series in which many workers are alone with an owner

Callers would see two runs of a task at once if a new owner took too little for proof that its predecessor doesn't extend leases again. The wide series hardly meet that: a worker that both owners reach refuses the older one, which stops.

--- a/tests/lease-series.test.ts
+++ b/tests/lease-series.test.ts
@@ -7,6 +7,7 @@
 import { drawSeries } from './support/lease-series/draw-series.js'
 import { drawWideSeries } from './support/lease-series/draw-wide-series.js'
 import { OWNER_ENDS } from './support/lease-series/owner-ends.js'
+import { PartitionWithOwner } from './support/lease-series/partition-with-owner.js'
 import { playSeries } from './support/lease-series/play-series.js'
 import { seriesFindings } from './support/lease-series/series-findings.js'
 import type { SeriesPlan } from './support/lease-series/series-plan.js'
@@ -22,6 +23,9 @@
 const SEEDS_WITH_SILENT_NAMES = [80, 152, 279, 320, 338]
 const SEEDS_WITH_SILENT_MAJORITY = [97, 224]
 
+/** Seeds of series that have two runs at once if a new owner doesn't wait for an owner that is alone with its workers. */
+const SEEDS_WITH_PARTITION = [3, 45, 46, 57, 58, 73, 80]
+
 /** Number of series in a test. */
 const SERIES_PER_TEST = 4
 
@@ -143,3 +147,8 @@
 test.each(SEEDS_WITH_SILENT_MAJORITY)('lasting tasks are not lost when more than half of all workers are silent (wide series of seed %i)', async seed => {
   await expectNoFindings(seed, seed, drawWideSeries)
 })
+
+// Guards against two runs at once: an owner that is alone with most of the workers that its record names extends their leases again.
+test.each(SEEDS_WITH_PARTITION)('lasting tasks don\'t run twice at once, and are not lost, when many workers are alone with an owner (wide series of seed %i)', async seed => {
+  await expectNoFindings(seed, seed, () => drawWideSeries(seed, [new PartitionWithOwner()]))
+})
--- a/tests/support/lease-series/print-series-table.ts
+++ b/tests/support/lease-series/print-series-table.ts
@@ -1,13 +1,14 @@
 /**
  * Plays series by hand and prints a table of the times between runs; fails if a task ran again too late, or had two runs at once.
  *
- * usage: print-series-table --mode single|all --fleet small|wide --first SEED --series COUNT
+ * usage: print-series-table --mode single|all --fleet small|wide|split --first SEED --series COUNT
  */
 import { parseArgs } from 'node:util'
 import { describeSeries } from './describe-series.js'
 import { drawSeries } from './draw-series.js'
 import { drawWideSeries } from './draw-wide-series.js'
 import { OWNER_ENDS } from './owner-ends.js'
+import { PartitionWithOwner } from './partition-with-owner.js'
 import { playSeries } from './play-series.js'
 import { seriesFindings } from './series-findings.js'
 import type { SeriesPlan } from './series-plan.js'
@@ -16,7 +17,9 @@
 
 const { values: { mode, fleet, first, series } } = parseArgs({ options: { mode: { type: 'string', default: 'single' }, fleet: { type: 'string', default: 'small' }, first: { type: 'string', default: '1' }, series: { type: 'string', default: '300' } } })
 
-const draw = fleet === 'wide' ? drawWideSeries : drawSeries
+/** Draws by fleet; in `split` workers are alone with the owner. */
+const DRAWS = new Map([['small', drawSeries], ['wide', drawWideSeries], ['split', (seed: number, _silences?: unknown, ownerEnds = OWNER_ENDS): SeriesPlan => drawWideSeries(seed, [new PartitionWithOwner()], ownerEnds)]])
+const draw = DRAWS.get(fleet) ?? drawSeries
 
 /** Returns the plan of a seed. In mode `single` the store doesn't fail, only the first owner ends, and the kinds come by turns. */
 function planOf (seed: number): SeriesPlan {
