Name no worker to a successor that is about to end or doesn't respond

Callers would see a lasting task wait for 12.4 s (test of the review, 9 s allowed) after a restart of all processes beside workers that were draining: 13 of the 15 named workers had gone, and none of those left showed the record's age. An owner names workers that stay, and leaving ones only if there are no others. Predecessor and successor go by the same list, so that fewer names make neither act sooner. Measured: the test passes, and 'an owner names no worker that is shutting down to its successor', which failed before.

--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -62,10 +62,11 @@
     if (this._earlierOwners.compareClock(worker.entry.id, worker.entry.incarnation, workerClock, now)) this._onEarlierOwnersKnown()
   }
 
-  /** Returns the clocks of some workers that have just reported, spread over pools, racks and availability zones. */
+  /** Returns the clocks of some workers that have just reported and are likely to stay, spread over pools, racks and availability zones. */
   readClocks (now: number): WorkerClock[] {
     const recent = [...this.all].filter(({ lastReportAt, clockEstimate }) => lastReportAt > now - MAXIMUM_CLOCK_AGE_MILLISECONDS && clockEstimate.isKnown)
-    return chooseSpreadWorkers(recent, MAXIMUM_CLOCKS).map(({ entry: { id, incarnation }, clockEstimate }) => {
+    const staying = recent.filter(({ isListed, isLeaving, unreachableSince }) => isListed && !isLeaving && unreachableSince === 0)
+    return chooseSpreadWorkers(staying.length > 0 ? staying : recent, MAXIMUM_CLOCKS).map(({ entry: { id, incarnation }, clockEstimate }) => {
       const { earliest, latest } = clockEstimate.read(now)
       return { worker: id, incarnation, earliest: Math.floor(earliest), latest: Math.ceil(latest) }
     })
--- a/tests/takeover-waits.test.ts
+++ b/tests/takeover-waits.test.ts
@@ -152,3 +152,18 @@
   expect(restartedAt(fleet, tasks) - startedAt).toBeLessThan(RESTART_AFTER_START_MILLISECONDS)
   expect(fleet.violations()).toEqual([])
 })
+
+// Guards against names of workers that can't tell the next owner anything.
+test.each(['that is shutting down', 'that has not responded'])('an owner names no worker %s to its successor', { timeout: 60_000 }, async cause => {
+  const { fleet, racks: [[worker] = []] } = await startRacks()
+  if (!worker) throw new Error('no worker')
+  if (cause === 'that is shutting down') fleet.emulator.drain(worker)
+  else worker.isDisconnected = true
+  await fleet.clock.advance(2_200)
+  const owner = fleet.owner()
+  fleet.kill(owner)
+  while (fleet.owner() === '' || fleet.owner() === owner) await fleet.clock.advance(50)
+  const [begun] = fleet.nodes.get(fleet.owner())?.log.fieldsOf('term begins') ?? []
+  expect(begun?.['namedWorkers']).not.toEqual([])
+  expect(begun?.['namedWorkers']).not.toContain(worker.id)
+})
