Extend leases again without the store only with two thirds of the named workers

That predecessor needs more than two thirds now, so that a third is enough to exclude it. The record says how many (resumesWith); a record without it is of an older version, whose owner needs more than half, and an older version that reads the new one asks for half as well: both are the longer wait. The price: in an outage of the store of more than 6.6 s with a third of the workers silent, runs end.

No test has two runs at once.

--- a/src/jobs/lease-renewals.ts
+++ b/src/jobs/lease-renewals.ts
@@ -18,9 +18,11 @@
   at: z.number(),
   /** End of the period in which the owner extends leases without writing again. */
   until: z.number(),
-  /** It may begin again once a majority of the workers in `workerClocks` have responded to calls made after `resumesAfter`, and goes on until `resumesUntil`. */
+  /** It may begin again once `resumesWith` of the workers in `workerClocks` have responded to calls made after `resumesAfter`, and goes on until `resumesUntil`. */
   resumesAfter: z.number(),
   resumesUntil: z.number(),
+  /** Missing in records of older versions, whose owners need more than half of the workers. */
+  resumesWith: z.number().int().optional(),
   /** End of the period in which owners of earlier terms may extend leases. */
   othersUntil: z.number(),
   workerClocks: z.array(WorkerClock)
--- a/src/jobs/renewal-grace-period.ts
+++ b/src/jobs/renewal-grace-period.ts
@@ -10,7 +10,7 @@
   /** End of the first period. The tasks of lost workers wait for it after each change of owner. */
   untilMilliseconds: 1_800,
   /**
-   * Earliest start of the second one, which needs responses to later calls from a majority of the workers that the renewal names: they refuse the calls of an
+   * Earliest start of the second one, which needs responses to later calls from a quorum of the workers that the renewal names: they refuse the calls of an
    * owner whose successor has called them, as it does within three seconds.
    */
   resumesAfterMilliseconds: 5_000,
--- a/src/ownership/earlier-owners.ts
+++ b/src/ownership/earlier-owners.ts
@@ -49,10 +49,11 @@
     return this._renewals && this.isResumptionExcluded ? { ...this._renewals, resumesUntil: this._renewals.at } : this._renewals
   }
 
-  /** Whether too few of the workers that the last owner names may still have responded to it by the time that it needs a majority of them to resume. */
+  /** Whether too few of the workers that the last owner names may still have responded to it by the time that it needs them to resume. */
   get isResumptionExcluded (): boolean {
     const count = this._renewals?.workerClocks.length ?? 0
-    return this._fencedInTime.size >= count / 2
+    const quorum = this._renewals?.resumesWith ?? Math.floor(count / 2) + 1
+    return count - this._fencedInTime.size < quorum
   }
 
   /** Latest epoch milliseconds from which on workers' responses can't exclude any more that the last owner resumes. */
--- a/src/scheduling/lease-renewal-permit.ts
+++ b/src/scheduling/lease-renewal-permit.ts
@@ -4,6 +4,7 @@
 import type { FleetTime } from '../jobs/fleet-time.js'
 import type { LeaseRenewals } from '../jobs/lease-renewals.js'
 import { RENEWAL_GRACE_PERIOD } from '../jobs/renewal-grace-period.js'
+import { resumptionQuorum } from '../jobs/resumption-quorum.js'
 import type { WorkerClock } from '../jobs/worker-clock.js'
 import type { EarlierOwners } from '../ownership/earlier-owners.js'
 import type { TermHolder } from '../ownership/term-holder.js'
@@ -108,6 +109,7 @@
       until: end(RENEWAL_GRACE_PERIOD.untilMilliseconds),
       resumesAfter: end(RENEWAL_GRACE_PERIOD.resumesAfterMilliseconds),
       resumesUntil: end(RENEWAL_GRACE_PERIOD.resumesUntilMilliseconds),
+      resumesWith: resumptionQuorum(workerClocks.length),
       othersUntil: this._fleetTime.fromLocal(this._earlierOwners.renewLeasesUntil),
       workerClocks
     }
@@ -136,15 +138,15 @@
 
   /** A successor goes by either of the two records, whichever the store has executed last. */
   private _mayResume (): boolean {
-    return this._created !== null && this._confirmed !== null && this._hasMajority(this._created.workerClocks, this._created.at) && this._hasMajority(this._confirmed.workerClocks, this._created.at)
+    return this._created !== null && this._confirmed !== null && this._hasQuorum(this._created.workerClocks, this._created.at) && this._hasQuorum(this._confirmed.workerClocks, this._created.at)
   }
 
-  private _hasMajority (workerClocks: readonly WorkerClock[], writtenAt: number): boolean {
+  private _hasQuorum (workerClocks: readonly WorkerClock[], writtenAt: number): boolean {
     const since = writtenAt + RENEWAL_GRACE_PERIOD.resumesAfterMilliseconds
     const responded = workerClocks.filter(({ worker: id, incarnation }) => {
       const worker = this._workers().find(id)
       return worker?.entry.incarnation === incarnation && worker.reportRequestedAt > since
     })
-    return responded.length > workerClocks.length / 2
+    return responded.length >= resumptionQuorum(workerClocks.length)
   }
 }
