Let an owner's first record name workers

The announcement waits until half of the listed workers have reported, at most 0.4 s, and applies first what they show of earlier owners.

A bound is the same only if its expiry is as well.

--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -213,7 +213,7 @@
   /** The same bound may be read again, and still runs from the first time. */
   private _applyLeaseBound ({ worker, incarnation, term, at, expiresAt, address = '', refusesConnections = false, hasSuccessor = false }: Extract<JournalRecord, { kind: 'lease-bound' }>): void {
     const known = this._leaseBounds.get(worker)
-    if (known?.incarnation === incarnation && known.term === term && known.decidedAt === at) return
+    if (known?.incarnation === incarnation && known.term === term && known.decidedAt === at && known.expiresAt === expiresAt) return
     this._leaseBounds.set(worker, { incarnation, term, decidedAt: at, expiresAt, expiresAtLatest: this._clock.now() + Math.max(0, expiresAt - at), address, refusesConnections, hasSuccessor })
   }
 
--- a/src/scheduling/takeover-task.ts
+++ b/src/scheduling/takeover-task.ts
@@ -12,6 +12,9 @@
 import type { WorkerRegistryFollowerTask } from './worker-registry-follower-task.js'
 import type { WorkerTable } from './worker-table.js'
 
+/** Longest wait for the first reports of workers, in milliseconds: no lease is extended meanwhile. */
+const FIRST_REPORTS_MILLISECONDS = 400
+
 /** Waits for the worker registry to load, restores all jobs from the journal, then runs the placement task. */
 export class TakeoverTask extends Task {
   override readonly name = 'adoption'
@@ -35,11 +38,25 @@
     for (const job of this._jobTable.jobs) this._restore(job)
     for (const { entry } of this._workers.all) this._losses.workerListed(entry)
     this._jobTable.observer = this._schedule
+    await this._untilReported(signal)
+    if (signal.aborted) return
+    this._workers.refreshInheritedLeases()
     this._leaseBounds.adopt(this._workers.all)
     this._isDone = true
     await this._placement.run(signal)
   }
 
+  /** Waits until half of the workers have reported, so that this owner's first record names some: the next owner learns its age from them. */
+  private async _untilReported (signal: AbortSignal): Promise<void> {
+    const deadline = this._clock.now() + FIRST_REPORTS_MILLISECONDS
+    while (!this._hasHalfReported && this._clock.now() < deadline && !signal.aborted) await this._schedule.changed.wait(this._clock, deadline, signal)
+  }
+
+  private get _hasHalfReported (): boolean {
+    const listed = [...this._workers.all].filter(({ isListed }) => isListed)
+    return listed.filter(({ lastReportAt }) => lastReportAt > 0).length >= listed.length / 2
+  }
+
   /** Restores a job. One that can't be restored doesn't keep the others from running: each next owner would read the same job. */
   private _restore (job: JobView): void {
     try {
--- a/tests/takeover-task.test.ts
+++ b/tests/takeover-task.test.ts
@@ -38,7 +38,7 @@
     }
   }
   const registry: Pick<WorkerRegistryFollowerTask, 'isLoaded'> = { isLoaded: true }
-  const workers: Pick<WorkerTable, 'all'> = { all: [][Symbol.iterator]() }
+  const workers: Pick<WorkerTable, 'all' | 'refreshInheritedLeases'> = { all: [][Symbol.iterator](), refreshInheritedLeases: () => {} }
   const leaseBounds: Pick<LeaseBounds, 'adopt'> = { adopt: () => {} }
   const losses: Pick<WorkerLossHandler, 'workerListed'> = { workerListed: () => {} }
   const placement = new RecordingTask()
