Hold requests in a test that waits until all of them run at once

A test of callers that disconnect sometimes timed out beside load, waiting for "all slots are in use".

Cause, in the test: each of its sixteen requests worked for 300 ms, and the test waited for a moment at which all sixteen ran. Beside load the last one began when the first ones were done. All were answered with 200; nothing was wrong in the product.

Simulated endpoints can now be told to hold their requests until they are released, so that the state that is waited for lasts. The test is stricter than before: the abandoned request must be removed from the queue while all slots are still in use, and all others must be answered with 200. The test of a process that stops had the same race with twelve requests, and holds them until the stop has begun.

--- a/stand-ins/endpoint-server.ts
+++ b/stand-ins/endpoint-server.ts
@@ -54,6 +54,9 @@
   private _pool: string
   private _bootId = randomUUID()
   private _isRebooting = false
+  /** Resolves when requests may complete. */
+  private _released: Promise<void> = Promise.resolve()
+  private _release: () => void = () => {}
 
   constructor (private readonly _options: EndpointOptions) {
     this._pool = _options.pool
@@ -81,6 +84,7 @@
 
   /** Closes all connections and the server. */
   async close (): Promise<void> {
+    this.release()
     this._server.closeAllConnections()
     this._server.close()
     await once(this._server, 'close').catch(() => {})
@@ -95,6 +99,16 @@
     }
   }
 
+  /** Keeps requests from completing until `release` is called, however long they work. */
+  hold (): void {
+    this._released = new Promise(resolve => { this._release = resolve })
+  }
+
+  /** Lets the requests complete that `hold` has kept. */
+  release (): void {
+    this._release()
+  }
+
   /** Reboots into the service of a pool; running requests are interrupted. */
   async reboot (pool: string, milliseconds: number): Promise<void> {
     this._isRebooting = true
@@ -167,6 +181,7 @@
     }
     const workMilliseconds = Number(message.headers['x-work-milliseconds'] ?? this._options.workMilliseconds)
     await delay(workMilliseconds + this.faults.slowMilliseconds)
+    await this._released
     entry.endedAt = Date.now()
     this._running.delete(requestId)
     if (!this._silentSockets.has(message.socket)) this._respond(message, response, body)
--- a/tests/endpoint-faults.test.ts
+++ b/tests/endpoint-faults.test.ts
@@ -138,12 +138,14 @@
 
 describe('a graceful shutdown under load', () => {
   it('interrupts nothing: all running requests are answered, and the grants are returned', async () => {
-    setFaults({ slowMilliseconds: 300 })
+    for (const endpoint of fleet.endpoints.values()) endpoint.hold()
     const entry = fleet.processes.get('entry-a')
     const control = fleet.processes.get('control-a')
     const responses = Array.from({ length: 12 }, (_, index) => send('POST', `mark-${index}`))
     await fleet.waitUntil(() => [...fleet.endpoints.values()].reduce((sum, endpoint) => sum + endpoint.running, 0) === 12, 'all requests are running')
-    await entry?.stop()
+    const stopped = entry?.stop()
+    for (const endpoint of fleet.endpoints.values()) endpoint.release()
+    await stopped
     expect((await Promise.all(responses)).every(response => response.status === 200)).toBe(true)
     await fleet.waitUntil(() => control?.tree.keeper.state.members.size === 1, 'the entry process has left')
     expect(control?.tree.keeper.state.grantedUnits('team')).toBe(0)
@@ -152,7 +154,7 @@
 
 describe('callers that disconnect', () => {
   it('have their waiting requests removed from the queue', async () => {
-    setFaults({ slowMilliseconds: 300 })
+    for (const endpoint of fleet.endpoints.values()) endpoint.hold()
     const running = Array.from({ length: 16 }, (_, index) => send('POST', `running-${index}`))
     await fleet.waitUntil(() => [...fleet.endpoints.values()].reduce((sum, endpoint) => sum + endpoint.running, 0) === 16, 'all slots are in use')
     const callerAbort = new AbortController()
@@ -161,8 +163,9 @@
     await fleet.waitUntil(() => metrics?.value('requests.accepted') === 17, 'the request is accepted')
     callerAbort.abort()
     await abandoned
-    await Promise.all(running)
     await fleet.waitUntil(() => (metrics?.value('requests.refused') ?? 0) > 0, 'the request is removed from the queue')
+    for (const endpoint of fleet.endpoints.values()) endpoint.release()
+    expect((await Promise.all(running)).every(response => response.status === 200)).toBe(true)
     expect(countRuns('left')).toBe(0)
   })
 })
