Forget a possible crash when the worker itself reports again

Callers would see a sound job failed: a worker refused connections until its lease had expired, responded again, and was restarted as planned within the minute in which another incarnation counts as proof of a crash. Its task was blamed for a crash each time.

Cause: a report of the same incarnation proves that it hasn't ended, but the possible crash was kept.

Why this works: every report of a worker drops the possible crashes of just this incarnation, and the rows are written again, so that a later owner doesn't count them. Reports are looked at only while any crash is unproved.

--- a/src/scheduling/crash-history.ts
+++ b/src/scheduling/crash-history.ts
@@ -98,6 +98,14 @@
     return this._unproven.filter(({ unprovenEnd }) => unprovenEnd && isEnded(unprovenEnd))
   }
 
+  /** Forgets the crashes of a worker that hasn't ended. Returns whether there are any. */
+  disprove (worker: string, incarnation: number): boolean {
+    const remaining = this._unproven.filter(({ unprovenEnd }) => unprovenEnd?.worker !== worker || unprovenEnd.incarnation !== incarnation)
+    const isAny = remaining.length < this._unproven.length
+    this._unproven = remaining
+    return isAny
+  }
+
   /** Forgets the crashes that can't be proved any more at a fleet time. */
   forgetUnproven (now: number): void {
     this._unproven = this._unproven.filter(({ unprovenEnd }) => unprovenEnd && unprovenEnd.forgetAt > now)
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -123,9 +123,8 @@
     this._giveUpIfExhausted(task)
   }
 
-  /** Forgets the crashes of a task that lasts. */
-  clearCrashes (task: ScheduledTask): void {
-    task.crashes.clear()
+  /** Writes the progress of a task whose crashes have changed. */
+  writeProgress (task: ScheduledTask): void {
     this._writer.writeStep(task.step)
   }
 
--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -70,6 +70,15 @@
     }
   }
 
+  /** Forgets the possible crashes of a worker that has reported: it had only been unreachable. */
+  workerReported ({ id, incarnation }: WorkerEntry): void {
+    for (const task of [...this._jobs.tasksWithUnprovenCrashes]) {
+      if (!task.crashes.disprove(id, incarnation)) continue
+      this._schedule.writeProgress(task)
+      this._jobs.updateUnprovenCrashes(task)
+    }
+  }
+
   private _recordUnproven ({ entry: { id, address, incarnation } }: FleetWorker, { task, run, role }: AttributedCrash): void {
     task.crashes.recordUnproven({ run, role, unprovenEnd: { worker: id, address, incarnation, forgetAt: Math.round(this._fleetTime.now()) + UNPROVEN_RETENTION_MILLISECONDS } })
     this._jobs.updateUnprovenCrashes(task)
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -58,6 +58,7 @@
     if (report.incarnation !== 0 && report.incarnation !== worker.entry.incarnation) this._startIncarnation(worker, report.incarnation, report)
     const isFirst = worker.lastReportAt === 0
     this._workers.recordReport(worker, report.clock, requestedAt)
+    this._losses.workerReported(worker.entry)
     this._applyCompletions(worker, report.ended)
     this._applyActiveRuns(worker, report, requestedAt)
     this._stopUnneededRuns(worker, report.running)
@@ -101,7 +102,10 @@
 
   private _confirmRun (task: ScheduledTask, activeRun: ActiveRun, workerClock: number): void {
     task.recordReported(this._clock.now(), workerClock)
-    if (task.isStable && !task.crashes.isEmpty) this._schedule.clearCrashes(task)
+    if (task.isStable && !task.crashes.isEmpty) {
+      task.crashes.clear()
+      this._schedule.writeProgress(task)
+    }
     if (activeRun.checkpoint !== '') task.checkpoint = activeRun.checkpoint
     task.progressPercent = activeRun.percent
     task.load = activeRun.load
--- a/tests/crashing-tasks.test.ts
+++ b/tests/crashing-tasks.test.ts
@@ -201,6 +201,35 @@
   expect(await fleet.state(fleet.nonOwner(), 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
 })
 
+test.each([true, false])('a task is not blamed when its worker refused connections, responded again, and was then restarted (owner changes: %s)', async changesOwner => {
+  const fleet = await EmulatedFleet.create(3, ['one', 'two'], 1, false)
+  fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: 30_000, result: 'done' })
+  await fleet.submit('one', 'aaaa', [{}])
+  for (let loss = 1; loss <= 5; loss++) {
+    for (let elapsed = 0; elapsed < 30_000 && !workerOf(fleet, 'aaaa.0.0.0'); elapsed += 50) await fleet.clock.advance(50)
+    await fleet.clock.advance(200)
+    const worker = workerOf(fleet, 'aaaa.0.0.0')
+    if (!worker) throw new Error('the task is not running')
+    worker.isDisconnected = true
+    fleet.emulator.faults.refusedAddresses.add(worker.address)
+    for (let elapsed = 0; elapsed < 30_000 && fleet.starts('aaaa.0.0.0').length === loss; elapsed += 50) await fleet.clock.advance(50)
+    worker.isDisconnected = false
+    fleet.emulator.faults.refusedAddresses.clear()
+    await fleet.clock.advance(2_000)
+    if (changesOwner) {
+      fleet.kill(fleet.owner())
+      fleet.start(`next-${loss}`)
+      await fleet.clock.advance(4_000)
+    }
+    fleet.emulator.shutDown(worker)
+    fleet.emulator.restart(worker)
+    await fleet.clock.advance(1_000)
+  }
+  await fleet.clock.advance(45_000)
+  expect(fleet.starts('aaaa.0.0.0').length).toBeGreaterThan(5)
+  expect(await fleet.state(fleet.nonOwner(), 'aaaa')).toEqual({ kind: 'state', state: 'completed' })
+})
+
 test('a lasting task is not failed by workers that crash long after its start', async () => {
   const fleet = await EmulatedFleet.create(3, ['one', 'two'])
   fleet.outcomesByTask.set('aaaa.0.0.0', { milliseconds: Infinity, result: 'done' })
