--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -44,6 +44,8 @@
   acknowledgedSequence = 0
   /** Run completions up to this sequence number have been applied to the schedule. */
   appliedSequence = 0
+  /** Runs, as `TASK/RUN`, whose start got no response and whose stop hasn't been answered: they may begin for as long as the lease is extended. */
+  readonly unsettledRuns = new Set<string>()
   /** Tasks with a reservation on the worker. */
   readonly tasks = new Set<ScheduledTask>()
   /** Those of them beside which nothing else may start while they are on trial. */
@@ -118,6 +120,11 @@
     return !this.isListed || this.lastReportAt > 0 || this.unreachableSince > 0
   }
 
+  /** Whether its lease serves no run but such whose start or stop may yet be carried out: once it has expired, none of them begins. */
+  get hasOnlyUnsettledRuns (): boolean {
+    return this.unsettledRuns.size > 0 && [...this.tasks].every(({ runState }) => runState === 'settling')
+  }
+
   /** Whether the reservations exceed the capacity, which may have shrunk. */
   get isOvercommitted (): boolean {
     return !fitsWithin(this._reserved, this.entry.capacity)
@@ -187,6 +194,7 @@
     this.entry = { ...this.entry, incarnation }
     this.isEntryCurrent = false
     this.hasOrphanedRuns = false
+    this.unsettledRuns.clear()
     this._unknownLeasesExpireAt = unknownLeasesExpireAt
     this._hasInheritedLeases = false
     this._leaseDeadline = 0
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -145,7 +145,7 @@
   private _eligibleWorkersByPool (now: number): Map<string, FleetWorker[]> {
     const workersByPool = new Map<string, FleetWorker[]>()
     for (const worker of this._workers.all) {
-      if (!this._workers.isEligible(worker, now)) continue
+      if (!this._workers.isEligible(worker, now) || worker.unsettledRuns.size > 0) continue
       const poolWorkers = workersByPool.get(worker.entry.pool) ?? []
       workersByPool.set(worker.entry.pool, poolWorkers)
       poolWorkers.push(worker)
--- a/src/scheduling/start-outcome-handler.ts
+++ b/src/scheduling/start-outcome-handler.ts
@@ -50,6 +50,7 @@
    */
   startUnconfirmed (task: ScheduledTask, worker: FleetWorker, run: number, sentAt: number): void {
     this._workers.suspect(worker, sentAt)
+    worker.unsettledRuns.add(`${task.name}/${run}`)
     worker.avoidedUntil = this._clock.now() + AVOIDANCE_MILLISECONDS
     if (task.run !== run || task.worker === null) return
     this._metrics.count('runs.unsettled')
@@ -60,9 +61,15 @@
   }
 
   /** Records that the worker confirmed the stop of a run: a report requested from now on shows whether the run exists. */
-  stopConfirmed (taskName: string, run: number): void {
+  stopConfirmed (worker: FleetWorker, taskName: string, run: number): void {
+    this.stopRefused(worker, taskName, run)
     const task = this._jobs.findTask(taskName)
     if (!task || task.run !== run || task.worker === null) return
     task.confirmedAt = Math.min(task.confirmedAt, this._clock.now())
   }
+
+  /** Records that the worker answered the stop of a run, so that it is not repeated. */
+  stopRefused (worker: FleetWorker, taskName: string, run: number): void {
+    worker.unsettledRuns.delete(`${taskName}/${run}`)
+  }
 }
--- a/src/scheduling/stop-run-task.ts
+++ b/src/scheduling/stop-run-task.ts
@@ -36,12 +36,13 @@
       const response = await worker.client.stop(this._taskName, this._run, this._clock.now() + STOP_TIMEOUT_MILLISECONDS, signal)
       if (response.isRight()) {
         this._log.emit('run stopped', { task: this._taskName, run: this._run, worker: worker.entry.id })
-        this._outcomes.stopConfirmed(this._taskName, this._run)
+        this._outcomes.stopConfirmed(worker, this._taskName, this._run)
         return
       }
       const error = response.extract() as WorkerError
       if (error.kind === 'fenced') this._onFenced(`worker ${worker.entry.id}: ${error.message}`)
       if (error.kind === 'fenced' || error.kind === 'replaced' || error.kind === 'invalid') {
+        this._outcomes.stopRefused(worker, this._taskName, this._run)
         this._log.emit('stop refused', { task: this._taskName, run: this._run, worker: worker.entry.id, cause: error.message })
         return
       }
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -53,6 +53,8 @@
   lateStarts = 0
   /** Addresses of workers at which every start gets no response and is executed late. */
   readonly lateStartAddresses = new Set<string>()
+  /** Addresses of workers at which no stop arrives. */
+  readonly lostStopAddresses = new Set<string>()
   /** Delay of a late start, in milliseconds. */
   lateStartMilliseconds = 3_000
 
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -182,7 +182,7 @@
   private async _callWorker ({ address, headers, body, isAborted }: EmulatedRequest, call: string): Promise<{ status: number, body: Buffer } | null> {
     this.workerCalls += 1
     const worker = this._workersByAddress.get(address)
-    if (!worker || worker.isDisconnected) return null
+    if (!worker || worker.isDisconnected || (call === 'run-stop' && this.faults.lostStopAddresses.has(address))) return null
     await this._clock.sleepUntil(this._clock.now() + (this.faults.workerLatencies.get(address) ?? WORKER_LATENCY_MILLISECONDS))
     if (headers['expect-instance'] !== worker.id) return this._encode({ status: 421, body: {} })
     const order = JSON.parse(body.toString()) as Record<string, never>
--- a/tests/lasting-task-waits.test.ts
+++ b/tests/lasting-task-waits.test.ts
@@ -156,3 +156,18 @@
   await fleet.submit('one', 'aaaa', [{ count: 4, isLasting: true, maximumPerWorker: 1 }])
   expect(await longestWait(fleet, 'aaaa', 4, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
 })
+
+// Guards against a task that is kept by a worker which reports, and so extends its lease, but answers neither the start nor the stop that follows.
+test.each([3_000, 11_000])('lasting tasks start elsewhere when a worker reports but answers neither starts, carried out after %i ms, nor stops', async late => {
+  const fleet = await EmulatedFleet.create(3, ['one'], 1, false)
+  const { faults, workerIncarnations: [first] } = fleet.emulator
+  faults.lateStartAddresses.add(first?.address ?? '')
+  faults.lostStopAddresses.add(first?.address ?? '')
+  faults.lateStartMilliseconds = late
+  letLast(fleet, 'aaaa', 2)
+  await fleet.submit('one', 'aaaa', [{ count: 2, isLasting: true }])
+  expect(await longestWait(fleet, 'aaaa', 2, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS + 1_000)
+  faults.lateStartAddresses.clear()
+  faults.lostStopAddresses.clear()
+  expect(await longestWait(fleet, 'aaaa', 2, 10_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
+})
