Let a lease expire whose worker's reports prove nothing of its runs

What callers saw: a task that lasts, of which the start got no response, never ran when its worker listed a row of a form that we can't decode, with another worker empty beside it. Cause: such a row may be any run, so that no report of the worker shows that a run isn't there, however long its stop has been answered; and each report extended the lease, whose end shows it as well. Why this works: the lease isn't extended while all tasks on the worker are such of which the start is unsettled, whether or not the stop has been answered. In the usual case a report settles them within three seconds and the lease goes on. The row itself may be such a run: it ends with the lease too. What remains: the same on a worker that has other runs, which its lease has to serve.

--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -120,9 +120,9 @@
     return !this.isListed || this.lastReportAt > 0 || this.unreachableSince > 0
   }
 
-  /** Whether its lease serves no run but such whose start or stop may yet be carried out: once it has expired, none of them begins. */
+  /** Whether its lease serves no run but such of which the start is unsettled: once it has expired, none of them runs or begins. */
   get hasOnlyUnsettledRuns (): boolean {
-    return this.unsettledRuns.size > 0 && [...this.tasks].every(({ runState }) => runState === 'settling')
+    return this.unsettledRuns.size + this.tasks.size > 0 && [...this.tasks].every(({ runState }) => runState === 'settling')
   }
 
   /** Whether the reservations exceed the capacity, which may have shrunk. */
--- a/src/scheduling/lease-renewal-task.ts
+++ b/src/scheduling/lease-renewal-task.ts
@@ -98,7 +98,7 @@
    * Returns whether to extend the lease deadline. A worker that does not respond may still have applied an extension, so each
    * further one would delay the moment at which its runs are known to have ended, by this owner and, as the journal has it, by the next one.
    * Besides, the next owner relies on an owner without contact to the store to stop renewing leases. A worker that reports but answers neither a start nor
-   * the stop that follows would keep the task for ever if its lease went on.
+   * the stop that follows, or whose reports prove nothing, would keep the task for ever if its lease went on.
    */
   private _mayRenewLease (): boolean {
     return this._consecutiveFailures === 0 && !this._worker.hasLeaseBound && !this._worker.hasOnlyUnsettledRuns && this._permit.isGranted
--- a/tests/lasting-task-waits.test.ts
+++ b/tests/lasting-task-waits.test.ts
@@ -171,3 +171,15 @@
   faults.lostStopAddresses.clear()
   expect(await longestWait(fleet, 'aaaa', 2, 10_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
 })
+
+// Guards against a task that is kept by a worker whose reports never prove anything, because a row in them can't be decoded.
+test('a lasting task whose start got no response starts elsewhere when the worker lists a row of an unknown form', async () => {
+  const fleet = await EmulatedFleet.create(2, ['one'], 1, false)
+  const [first] = fleet.emulator.workerIncarnations
+  if (first) first.oddRows = { running: [null], ended: [] }
+  await fleet.clock.advance(3_000)
+  fleet.emulator.faults.lateStarts = 1
+  letLast(fleet, 'aaaa', 1)
+  await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  expect(await longestWait(fleet, 'aaaa', 1, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS + 1_000)
+})
