--- a/tests/support/lease-series/disturbed-fleet.ts
+++ b/tests/support/lease-series/disturbed-fleet.ts
@@ -45,8 +45,11 @@
   private _actions: ScheduledAction[] = []
   private _newestTerm: number
 
-  /** @param workers workers of the VMs of a fleet that was planned in detail. */
-  private constructor (readonly fleet: EmulatedFleet, readonly workers: ReadonlyMap<PlannedMachine, EmulatedWorker> = new Map()) {
+  /**
+   * @param processes names of all processes, running or not.
+   * @param workers workers of the VMs of a fleet that was planned in detail.
+   */
+  private constructor (readonly fleet: EmulatedFleet, readonly processes: readonly string[], readonly workers: ReadonlyMap<PlannedMachine, EmulatedWorker> = new Map()) {
     this.calm = new CalmRecord(fleet)
     this._newestTerm = this._latestTerm().term
   }
@@ -68,7 +71,7 @@
     for (let index = 0; index < tasks; index++) fleet.outcomesByTask.set(`${JOB}.0.0.${index}`, { milliseconds: Infinity, result: 'done' })
     await fleet.submit(processes[0] ?? '', JOB, [{ count: tasks, isLasting: true, maximumPerWorker: 2 }])
     await fleet.clock.advance(STEADY_MILLISECONDS)
-    return new DisturbedFleet(fleet)
+    return new DisturbedFleet(fleet, processes)
   }
 
   /** Starts a fleet of several pools with a lasting task on each worker, and makes room for more of them once they run. */
@@ -81,7 +84,7 @@
     await fleet.clock.advance(STEADY_MILLISECONDS)
     pools.makeRoom()
     await fleet.clock.advance(STEADY_MILLISECONDS)
-    return new DisturbedFleet(fleet, pools.workers)
+    return new DisturbedFleet(fleet, processes, pools.workers)
   }
 
   get now (): number {
