--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -30,8 +30,12 @@
   unreadableRows = 0
   /** Whether the worker gets nothing new because its VM is needed for maintenance or a move. */
   isCordoned = false
-  /** Epoch milliseconds until which the worker gets nothing new after failed runs or a refused order. */
+  /** Epoch milliseconds until which the worker gets nothing new after a refused order. */
   cooldownUntil = 0
+  /** Epoch milliseconds until which the worker gets nothing new after failed runs, unless it has the only room for an overdue task. */
+  distrustedUntil = 0
+  /** Epoch milliseconds until which other workers go before it, because a start got no response. */
+  avoidedUntil = 0
   /** Epoch milliseconds since which the worker may be unreachable: it gets nothing new before a later report. */
   suspectedSince = 0
   /** Number of failed runs since the last successful one. */
@@ -58,8 +62,9 @@
   boundExpiresAt = 0
   /** Whether its withdrawal has been decided on. */
   isBoundWithdrawn = false
-  /** Whether that bound says that the worker refuses connections. */
+  /** Whether that bound says that the worker refuses connections, and that it has a successor. */
   isRefusalRecorded = false
+  isSuccessorRecorded = false
   /** Epoch milliseconds from which on the response to the present call is late; Infinity while none is awaited. */
   responseOverdueAt = Infinity
   /** Whether another worker has named its address while it refused connections: unless it reports again, it has ended. */
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -30,6 +30,9 @@
 /** Nothing new is placed on an older view of the journal and of the configuration: it may lack cancellations, withdrawn keys or zone outages. */
 const MAXIMUM_VIEW_AGE_MILLISECONDS = 2_000
 
+/** Time for which a task that lasts waits for more than room on a worker, in milliseconds: it may have waited as long as a lease for its last run to end. */
+const LASTING_TASK_PATIENCE_MILLISECONDS = 2_000
+
 /** What the steps of one round share. */
 interface PlacementRound {
   readonly now: number
@@ -83,9 +86,12 @@
     const round = { now, workersByPool: this._eligibleWorkersByPool(now), unplaceableByPool: new Map<string, Resources[]>(), isolation: new RunIsolation(now) }
     const prioritizedSteps = this._policy.prioritize(startableSteps, now)
     let placed = 0
-    // Suspected tasks choose first: a worker is free of other runs on trial only if it gets no others meanwhile.
-    for (const step of prioritizedSteps) if (step.hasCrashes) placed += this._placeStep(step, round, true)
-    for (const step of prioritizedSteps) placed += this._placeStep(step, round, false)
+    for (const steps of [prioritizedSteps.filter(({ definition }) => definition.isLasting), prioritizedSteps.filter(({ definition }) => !definition.isLasting)]) {
+      // Suspected tasks choose first: a worker is free of other runs on trial only if it gets no others meanwhile.
+      for (const step of steps) if (step.hasCrashes) placed += this._placeStep(step, round, true)
+      for (const step of steps) placed += this._placeStep(step, round, false)
+    }
+    for (const step of prioritizedSteps) if (step.definition.isLasting) for (const task of step.waitingTasks) task.overdueAt = Math.min(task.overdueAt, now + LASTING_TASK_PATIENCE_MILLISECONDS)
     if (placed > 0) this._metrics.count('placement.placed', placed)
     this._metrics.timing('placement.round.milliseconds', this._clock.now() - now)
   }
@@ -149,9 +155,10 @@
 
   private _placeTasks (tasks: readonly ScheduledTask[], workers: readonly FleetWorker[], unplaceable: Resources[], isolation: RunIsolation): ScheduledTask[] {
     const placed: ScheduledTask[] = []
+    const now = this._clock.now()
     for (const task of tasks) {
       const { requiredLabel, maximumPerWorker } = task.step.definition
-      if (unplaceable.some(demand => fitsWithin(demand, task.reservation))) break
+      if (!task.isOverdue(now) && unplaceable.some(demand => fitsWithin(demand, task.reservation))) break
       if (!this._isWithinUpperLimit(task)) break
       const candidates = this._candidateWorkers(task, workers, isolation)
       const worker = task.crashes.isEmpty ? this._policy.chooseWorker(task, candidates) : isolation.choose(candidates)
@@ -215,16 +222,23 @@
     return this._reservations.teamUsage.isWithinUpperLimit(step.job.view.submission.team, step.definition.demand)
   }
 
+  /** Returns the workers that may get a task; those that didn't respond to a start only if there are no others. */
   private _candidateWorkers (task: ScheduledTask, workers: readonly FleetWorker[], isolation: RunIsolation): FleetWorker[] {
-    return this._workersWithCapacity(task, workers).filter(worker => isolation.permits(task, worker))
+    const now = this._clock.now()
+    const candidates = this._workersWithCapacity(task, workers).filter(worker => isolation.permits(task, worker))
+    const preferred = candidates.filter(({ avoidedUntil }) => avoidedUntil <= now)
+    return preferred.length > 0 ? preferred : candidates
   }
 
   private _workersWithCapacity (task: ScheduledTask, workers: readonly FleetWorker[]): FleetWorker[] {
     const { requiredLabel, maximumPerWorker } = task.step.definition
-    return workers.filter(worker =>
+    const now = this._clock.now()
+    const suitable = workers.filter(worker =>
       worker.hasCapacityFor(task.reservation) &&
       (requiredLabel === '' || worker.entry.labels.includes(requiredLabel)) &&
       (maximumPerWorker === 0 || this._countOnWorker(task, worker) < maximumPerWorker))
+    const trusted = suitable.filter(({ distrustedUntil }) => distrustedUntil <= now)
+    return trusted.length === 0 && task.isOverdue(now) ? suitable : trusted
   }
 
   private _countOnWorker (task: ScheduledTask, worker: FleetWorker): number {
--- a/stand-ins/emulator/emulated-virtual-machines.ts
+++ b/stand-ins/emulator/emulated-virtual-machines.ts
@@ -40,6 +40,10 @@
   readonly arrivedOrders: VirtualMachineOrder[] = []
   /** VMs that the next list lacks, as if they had changed their place between two pages. */
   readonly missingInNextList = new Set<string>()
+  /** Whether every order is refused without any effect. */
+  refusesOrders = false
+  /** Waves of which no VM is a member, as far as the platform knows. */
+  readonly unknownWaves = new Set<number>()
   /** Rows of another form that each list has beside its own. */
   readonly oddRows: unknown[] = []
 
@@ -64,6 +68,7 @@
 
   /** Executes an order and returns the status and body of the response. */
   order (call: 'machine-move' | 'machine-upkeep', body: { machine: string, pool?: string, wave?: number }, holder: string, token: number): { status: number, body: object } {
+    if (this.refusesOrders) return { status: 503, body: {} }
     const virtualMachine = this.byId.get(body.machine)
     if (!virtualMachine) return { status: 400, body: {} }
     const order = { virtualMachine: virtualMachine.id, holder, token, executedAt: this._clock.now() }
@@ -72,6 +77,7 @@
     virtualMachine.highestToken = Math.max(virtualMachine.highestToken, token)
     const isDone = call === 'machine-move' ? virtualMachine.pool === body.pool : virtualMachine.completedWaves.has(body.wave ?? 0)
     if (isDone) return { status: 200, body: {} }
+    if (call === 'machine-upkeep' && this.unknownWaves.has(body.wave ?? 0)) return { status: 409, body: { reason: 'wave' } }
     if (virtualMachine.state !== 'up') return { status: 409, body: { reason: 'busy' } }
     this.orders.push(order)
     this._stopWorker(virtualMachine)
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -51,9 +51,13 @@
   startLatencyMilliseconds = 0
   /** Number of starts, from the next one on, that get no response and are executed late. */
   lateStarts = 0
+  /** Addresses of workers at which every start gets no response and is executed late. */
+  readonly lateStartAddresses = new Set<string>()
   /** Delay of a late start, in milliseconds. */
   lateStartMilliseconds = 3_000
 
+  /** Time that a call to the advice service takes, in milliseconds. */
+  adviceMilliseconds = 0
   /** Addresses at which connections are refused although a worker is there. */
   readonly refusedAddresses = new Set<string>()
   /** Time after which a worker that a run has crashed is back, in milliseconds. */
@@ -61,8 +65,9 @@
   /** Whether such a worker is back under its ID; otherwise another worker is at its address. */
   keepsIdAfterCrash = false
 
-  /** Returns whether the next start is late, and counts it. */
-  consumeLateStart (): boolean {
+  /** Returns whether the next start at an address is late, and counts it. */
+  consumeLateStart (address: string): boolean {
+    if (this.lateStartAddresses.has(address)) return true
     if (this.lateStarts === 0) return false
     this.lateStarts -= 1
     return true
