List two waits of lasting tasks that are not mended

Both tests fail on this code: a worker that reports, has other runs and answers neither a start nor its stop keeps the task, since its lease has to go on; and workers that a wave has cordoned stay so while the platform refuses its orders with 503, although all are empty. For the second, a mend has to know that no earlier order can still be carried out, and how often a VM may be evacuated in vain.

--- a/tests/lasting-task-waits.test.ts
+++ b/tests/lasting-task-waits.test.ts
@@ -183,3 +183,29 @@
   await fleet.submit('one', 'aaaa', [{ isLasting: true }])
   expect(await longestWait(fleet, 'aaaa', 1, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS + 1_000)
 })
+
+// Guards against a task that is kept, along with a worker's other runs, by a lease that is extended for their sake.
+test('a lasting task starts elsewhere when a worker with other runs reports but answers neither its start nor the stop', async () => {
+  const fleet = await EmulatedFleet.create(3, ['one'], 1, false)
+  const { faults, workerIncarnations: [first] } = fleet.emulator
+  letLast(fleet, 'bbbb', 1)
+  await fleet.submit('one', 'bbbb', [{}])
+  await fleet.clock.advance(1_000)
+  faults.lateStartAddresses.add(first?.address ?? '')
+  faults.lostStopAddresses.add(first?.address ?? '')
+  faults.lateStartMilliseconds = 11_000
+  letLast(fleet, 'aaaa', 1)
+  await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  expect(await longestWait(fleet, 'aaaa', 1, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS + 1_000)
+})
+
+// Guards against workers that stay cordoned for a maintenance that the platform does not carry out.
+test('a lasting task does not wait for a worker whose maintenance the platform refuses for now', async () => {
+  const fleet = await EmulatedFleet.create(2, ['one'], 1, false)
+  fleet.emulator.virtualMachines.refusesOrders = true
+  fleet.emulator.publish('wave/1', { wave: 1, machines: ['m-0', 'm-1'], duration_s: 60, max_count: 2 })
+  await fleet.clock.advance(2_000)
+  letLast(fleet, 'aaaa', 1)
+  await fleet.submit('one', 'aaaa', [{ isLasting: true }])
+  expect(await longestWait(fleet, 'aaaa', 1, 20_000)).toBeLessThan(LOST_AFTER_MILLISECONDS)
+})
