Let the emulator list VMs whose workers have ended as down, late, or not at all

No test could tell what a list proves.

- A worker that has lost power, crashed or shut down leaves its VM down without a worker; one that starts again shows its ID, one that is replaced the other ID; one that is cut off changes nothing.
- Lists may lag behind, be slow, be refused or get no response; orders may get no response and be executed late, after newer ones.
- A late start no longer runs on a worker that has ended: its test has one start instead of none without the check.

--- a/stand-ins/emulator/emulated-virtual-machines.ts
+++ b/stand-ins/emulator/emulated-virtual-machines.ts
@@ -3,15 +3,21 @@
  */
 import type { Clock } from '../../src/supervision/clock.js'
 
+/** What changes about a VM. */
+interface Condition {
+  pool: string
+  state: 'up' | 'moving' | 'upkeep' | 'down'
+  /** ID of the last worker of the VM, which is not listed while the VM is down; empty if there is none. */
+  worker: string
+}
+
 /** An emulated VM. */
-interface EmulatedVirtualMachine {
+interface EmulatedVirtualMachine extends Condition {
   readonly id: string
   readonly zone: string
   readonly rack: string
-  pool: string
-  state: 'up' | 'moving' | 'upkeep' | 'down'
-  /** ID of the worker that runs on the VM; empty if there is none. */
-  worker: string
+  /** Earlier conditions, the oldest first, each with the epoch milliseconds until when. */
+  readonly earlier: (Condition & { readonly until: number })[]
   /** Waves for which the VM has been maintained. */
   readonly completedWaves: Set<number>
   /** Highest fencing token of an order so far. */
@@ -56,13 +62,39 @@
     private readonly _moveMilliseconds: number, private readonly _maintenanceMilliseconds: number
   ) {}
 
-  /** Returns the body of the list of VMs. */
-  list (): object {
+  /** Adds a VM, and a worker on it unless its pool is the standby pool. */
+  add (pool: string, zone: string, rack: string): EmulatedVirtualMachine {
+    const virtualMachine: EmulatedVirtualMachine = { id: `m-${this.byId.size}`, zone, rack, pool, state: 'up', worker: '', earlier: [], completedWaves: new Set(), highestToken: 0 }
+    this.byId.set(virtualMachine.id, virtualMachine)
+    virtualMachine.worker = this._startWorker(virtualMachine)
+    return virtualMachine
+  }
+
+  /** Records that a worker has ended, by a crash or a loss of power: its VM is down, unless it has another worker or an order takes it down. */
+  workerEnded ({ id, virtualMachine: virtualMachineId }: { readonly id: string, readonly virtualMachine: string }): void {
+    const virtualMachine = this.byId.get(virtualMachineId)
+    if (virtualMachine?.worker === id) this._change(virtualMachine, { state: 'down' })
+  }
+
+  /** Records that a worker has started on its VM again, under the same ID or another one. */
+  workerStarted ({ id, virtualMachine: virtualMachineId }: { readonly id: string, readonly virtualMachine: string }): void {
+    const virtualMachine = this.byId.get(virtualMachineId)
+    if (virtualMachine) this._change(virtualMachine, { state: 'up', worker: id })
+  }
+
+  /**
+   * Returns the body of the list of VMs.
+   *
+   * @param at epoch milliseconds as of which the list has its rows.
+   */
+  list (at = this._clock.now()): object {
     const listed = [...this.byId.values()].filter(({ id }) => !this.missingInNextList.has(id))
     this.missingInNextList.clear()
-    const virtualMachines = listed.map(({ id, pool, state, zone, rack, worker }) => ({
-      machine: id, pool, state, zone, labels: ['a', rack], capacity: { cpu: 64_000, mem_mb: 131_072 }, ...(worker === '' ? {} : { id: worker })
-    }))
+    const virtualMachines = listed.map(virtualMachine => {
+      const { id, zone, rack } = virtualMachine
+      const { pool, state, worker } = virtualMachine.earlier.find(({ until }) => until > at) ?? virtualMachine
+      return { machine: id, pool, state, zone, labels: ['a', rack], capacity: { cpu: 64_000, mem_mb: 131_072 }, ...(worker === '' || state === 'down' ? {} : { id: worker }) }
+    })
     return { machines: [...virtualMachines, ...this.oddRows], next_page_token: null }
   }
 
@@ -81,17 +113,20 @@
     if (virtualMachine.state !== 'up') return { status: 409, body: { reason: 'busy' } }
     this.orders.push(order)
     this._stopWorker(virtualMachine)
-    virtualMachine.worker = ''
-    if (call === 'machine-move') virtualMachine.pool = body.pool ?? virtualMachine.pool
-    else virtualMachine.completedWaves.add(body.wave ?? 0)
-    virtualMachine.state = call === 'machine-move' ? 'moving' : 'upkeep'
+    if (call === 'machine-upkeep') virtualMachine.completedWaves.add(body.wave ?? 0)
+    this._change(virtualMachine, call === 'machine-move' ? { pool: body.pool ?? virtualMachine.pool, state: 'moving', worker: '' } : { state: 'upkeep', worker: '' })
     this._finishOperation(virtualMachine, call === 'machine-move' ? this._moveMilliseconds : this._maintenanceMilliseconds).catch(() => {})
     return { status: 200, body: {} }
   }
 
   private async _finishOperation (virtualMachine: EmulatedVirtualMachine, milliseconds: number): Promise<void> {
     await this._clock.sleepUntil(this._clock.now() + milliseconds)
-    virtualMachine.state = 'up'
-    virtualMachine.worker = this._startWorker(virtualMachine)
+    this._change(virtualMachine, { state: 'up', worker: this._startWorker(virtualMachine) })
+  }
+
+  private _change (virtualMachine: EmulatedVirtualMachine, condition: Partial<Condition>): void {
+    const { pool, state, worker, earlier } = virtualMachine
+    earlier.push({ pool, state, worker, until: this._clock.now() })
+    Object.assign(virtualMachine, condition)
   }
 }
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -2,6 +2,7 @@
  * Fault settings of the emulated platform.
  */
 import type { Clock } from '../../src/supervision/clock.js'
+import { VirtualMachineFaults } from './virtual-machine-faults.js'
 
 /** A response of the store. */
 interface StoreResponse {
@@ -11,6 +12,8 @@
 
 /** Faults and delays that tests set; no fault is on at first. */
 export class EmulatorFaults {
+  /** Faults of the control interface of the VMs. */
+  readonly virtualMachines = new VirtualMachineFaults()
   /** Callers whose calls don't reach the store. */
   readonly disconnectedCallers = new Set<string>()
   /** Killed processes, whose calls reach no service. */
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -7,7 +7,7 @@
 import { EmulatedVirtualMachines } from './emulated-virtual-machines.js'
 import { EmulatedWorker } from './emulated-worker.js'
 import { EmulatorFaults } from './emulator-faults.js'
-import { RateLimiter } from './rate-limiter.js'
+import { VirtualMachineService } from './virtual-machine-service.js'
 import { WorkerOutages } from './worker-outages.js'
 
 /** Addresses of the platform's services. */
@@ -19,9 +19,6 @@
 const MOVE_MILLISECONDS = 1_500
 const MAINTENANCE_MILLISECONDS = 2_000
 
-/** Maximum rates of list calls and of orders to VMs, each from all processes together. */
-const VIRTUAL_MACHINE_CALLS_PER_SECOND = 64
-
 /** Latency of a call to a worker, in milliseconds; above zero so that time passes for a caller that repeats calls in a loop. */
 const WORKER_LATENCY_MILLISECONDS = 1
 
@@ -61,8 +58,7 @@
   private readonly _workersByAddress = new Map<string, EmulatedWorker>()
   /** Addresses of workers that have ended. */
   private readonly _formerAddresses = new Set<string>()
-  private readonly _listLimiter: RateLimiter
-  private readonly _orderLimiter: RateLimiter
+  private readonly _virtualMachineService: VirtualMachineService
   private _workerCount = 0
 
   /**
@@ -76,15 +72,14 @@
   ) {
     this.store = new EmulatedStore(_clock)
     this.registry = new EmulatedRegistry(_clock, this.store, virtualMachine => this.virtualMachines.byId.get(virtualMachine)?.rack ?? '', address => this._workersByAddress.get(address))
-    this.outages = new WorkerOutages(this.registry)
-    this._listLimiter = new RateLimiter(_clock, VIRTUAL_MACHINE_CALLS_PER_SECOND)
-    this._orderLimiter = new RateLimiter(_clock, VIRTUAL_MACHINE_CALLS_PER_SECOND)
     this.virtualMachines = new EmulatedVirtualMachines(
       _clock,
       virtualMachine => { for (const worker of this._workersByAddress.values()) if (worker.virtualMachine === virtualMachine.id) this.shutDown(worker) },
       virtualMachine => virtualMachine.pool === 'standby' ? '' : this._startWorker(virtualMachine.id, virtualMachine.pool, virtualMachine.zone).id,
       MOVE_MILLISECONDS, MAINTENANCE_MILLISECONDS
     )
+    this.outages = new WorkerOutages(this.registry, this.virtualMachines)
+    this._virtualMachineService = new VirtualMachineService(_clock, this.virtualMachines, this.faults.virtualMachines)
   }
 
   /** Addresses of the services. */
@@ -94,13 +89,8 @@
 
   /** Adds a VM to a pool, with a worker unless the pool is the standby pool. */
   addVirtualMachine (pool: string, zone: string, rack = 'r1'): EmulatedWorker | null {
-    const id = `m-${this.virtualMachines.byId.size}`
-    const virtualMachine = { id, zone, rack, pool, state: 'up' as const, worker: '', completedWaves: new Set<number>(), highestToken: 0 }
-    this.virtualMachines.byId.set(id, virtualMachine)
-    if (pool === 'standby') return null
-    const worker = this._startWorker(id, pool, zone)
-    this.virtualMachines.byId.set(id, { ...virtualMachine, worker: worker.id })
-    return worker
+    const { worker: workerId } = this.virtualMachines.add(pool, zone, rack)
+    return this.workerIncarnations.find(({ id }) => id === workerId) ?? null
   }
 
   /** Publishes an operator's record; null deletes the key. */
@@ -117,12 +107,14 @@
   /** Terminates a worker and deletes its registry entry at once, as a graceful shutdown does. */
   shutDown (worker: EmulatedWorker): void {
     this._terminate(worker)
+    this.virtualMachines.workerEnded(worker)
     this.registry.remove(worker)
   }
 
   /** Terminates a worker without notice; its registry entry expires later. */
   crash (worker: EmulatedWorker): void {
     this._terminate(worker)
+    this.virtualMachines.workerEnded(worker)
     this.registry.expire(worker)
   }
 
@@ -131,10 +123,22 @@
     return this.virtualMachines.byId.get(virtualMachine)?.worker === id
   }
 
+  /**
+   * Ends a worker whose address gives no response from then on. Another worker, with an ID and an address of its own, starts on its VM.
+   *
+   * @param startsAt epoch milliseconds.
+   */
+  async replace (worker: EmulatedWorker, startsAt: number): Promise<void> {
+    this.outages.cutPower(worker)
+    await this._clock.sleepUntil(startsAt)
+    if (this.isCurrent(worker)) this.virtualMachines.workerStarted(this._startWorker(worker.virtualMachine, worker.pool, worker.zone))
+  }
+
   /** Starts a new incarnation of a worker, with the same ID and address. */
   restart (worker: EmulatedWorker, capacity = worker.capacity): EmulatedWorker {
     const restarted = new EmulatedWorker(worker.id, worker.pool, worker.address, worker.zone, worker.virtualMachine, this._clock, this._outcome, MAXIMUM_LEASE_MILLISECONDS, capacity)
     this._add(restarted)
+    this.virtualMachines.workerStarted(restarted)
     return restarted
   }
 
@@ -167,10 +171,9 @@
       const response = await this.faults.apply(request.caller, call, topic, () => this.store.handle(call, url.searchParams, body), this._clock)
       return response ? this._encode(response) : null
     }
-    if (address === VIRTUAL_MACHINES_ADDRESS && !(call === 'machines' ? this._listLimiter : this._orderLimiter).tryAcquire()) return this._encode({ status: 429, body: {} })
-    if (address === VIRTUAL_MACHINES_ADDRESS && call === 'machines') return this._encode({ status: 200, body: this.virtualMachines.list() })
-    if (address === VIRTUAL_MACHINES_ADDRESS && (call === 'machine-move' || call === 'machine-upkeep')) {
-      return this._encode(this.virtualMachines.order(call, JSON.parse(body.toString()) as { machine: string }, headers['lease-holder'] ?? '', Number(headers['fencing-token'])))
+    if (address === VIRTUAL_MACHINES_ADDRESS) {
+      const response = await this._virtualMachineService.handle(call, headers, body)
+      return response ? this._encode(response) : null
     }
     if (address === ADVICE_ADDRESS) await this._clock.sleepUntil(this._clock.now() + this.faults.adviceMilliseconds)
     if (address === ADVICE_ADDRESS) return this._advise(JSON.parse(body.toString()) as { workers: string[] })
@@ -187,7 +190,7 @@
     if (headers['expect-instance'] !== worker.id) return this._encode({ status: 421, body: {} })
     const order = JSON.parse(body.toString()) as Record<string, never>
     if (call === 'run-start' && this.faults.consumeLateStart(address)) {
-      this._clock.sleepUntil(this._clock.now() + this.faults.lateStartMilliseconds).then(() => worker.handle(call, order)).catch(() => {})
+      this._clock.sleepUntil(this._clock.now() + this.faults.lateStartMilliseconds).then(async () => worker.isTerminated ? null : worker.handle(call, order)).catch(() => {})
       return null
     }
     if (call === 'run-start' && this.faults.startLatencyMilliseconds > 0) await this._clock.sleepUntil(this._clock.now() + this.faults.startLatencyMilliseconds)
@@ -224,7 +227,7 @@
     const virtualMachine = this.virtualMachines.byId.get(worker.virtualMachine)
     if (!virtualMachine || virtualMachine.worker !== worker.id) return
     if (this.faults.keepsIdAfterCrash) this.restart(worker)
-    else virtualMachine.worker = this._startWorker(worker.virtualMachine, worker.pool, worker.zone, worker.address).id
+    else this.virtualMachines.workerStarted(this._startWorker(worker.virtualMachine, worker.pool, worker.zone, worker.address))
   }
 
   private _add (worker: EmulatedWorker): void {
