Let processes on larger VMs claim first after an outage of the store as well

The term went to front-waco-5, a VM with 0.324 of a core and 10 Mbit/s, and stayed there.

A process claims 1.3 s after the end of the gap in its own view, plus up to 0.9 s if its VM lacks what an owner needs. The views resume up to 2.1 s apart, by the timeout of a read and the backoff after it: front-waco-5 read at 9.16 s and claimed at 11.71 s, the first large VM read at 10.07 s and could have claimed at 11.9 s. Now a process on a small VM whose view has just resumed waits until those whose views resumed last have had their turn. Without a gap in the view nothing changes.

The test fails before for an outage of 2.4 s: all four successors were small.

--- a/src/ownership/ownership-task.ts
+++ b/src/ownership/ownership-task.ts
@@ -34,6 +34,12 @@
 /** Longest delay before a claim for a VM without the resources that an owner needs, in milliseconds; exceeds all other delays together. */
 const MAXIMUM_SHORTFALL_DELAY_MILLISECONDS = 900
 
+/**
+ * Time by which the first and the last view that resume after an outage of the store may show a vacancy apart, in milliseconds: timeout of a read and longest backoff
+ * (2.1 s), and the steps in which views advance.
+ */
+const RESUMPTION_SPREAD_MILLISECONDS = 3_000
+
 /** Minimum time between two terms of one process, in milliseconds, so that two processes that depose each other don't keep alternating. */
 const MINIMUM_TERM_GAP_MILLISECONDS = 1_000
 
@@ -72,7 +78,7 @@
       const now = this._clock.now()
       const cause = this._vacancyCause(now)
       if (cause === null) claimAt = 0
-      else if (claimAt === 0) claimAt = now + this._claimDelay(now, cause)
+      else if (claimAt === 0) claimAt = Math.max(now + this._claimDelay(now, cause), this._othersResumedAt)
       if (cause !== null && now >= claimAt) {
         this._log.emit('claiming term', { cause, term: this._decisions.jobTable.term.number, holder: this._decisions.jobTable.term.holder, freshAt: Math.round(this._decisions.freshAt) })
         const term = this._termSupervisor.start(this._createTerm())
@@ -104,6 +110,11 @@
     return freshAt > Math.max(this._ownerLastContactAt, this._viewResumedAt) + OWNER_TIMEOUT_MILLISECONDS ? 'silent' : null
   }
 
+  /** Epoch milliseconds by which processes on larger VMs, whose views may have resumed later than this one's, claim a term that is vacant since then. */
+  private get _othersResumedAt (): number {
+    return this._viewResumedAt + OWNER_TIMEOUT_MILLISECONDS + this._resourceShortfall * RESUMPTION_SPREAD_MILLISECONDS
+  }
+
   /** Returns how long to wait before a claim, in milliseconds. */
   private _claimDelay (now: number, cause: string): number {
     // Only a released term suggests a rolling restart, in which more processes are about to stop.
