Start no more runs at a time than an owner can, beside its leases

An owner decided on all runs that had room at once, and sent all starts at once; renewals of leases queued behind them, failed by timeout, and weren't extended after that. Now it places nothing while 256 starts have no outcome yet.

The emulator can give a caller a processor time for each call. The test fails before: with 2 ms a call, 31 runs of the 40 lasting tasks lapse, and 300 of 3,000 others are done after 15 s; now none lapses, and all are done.

--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -37,6 +37,7 @@
 import { OutcomeRetentionTask } from '../scheduling/outcome-retention-task.js'
 import { ScheduledJobTable } from '../scheduling/scheduled-job-table.js'
 import { FillerThrottlingTask } from '../scheduling/filler-throttling-task.js'
+import { PendingStarts } from '../scheduling/pending-starts.js'
 import { PlacementTask } from '../scheduling/placement-task.js'
 import { WorkerReconciler } from '../scheduling/worker-reconciler.js'
 import { ResourceReservations } from '../scheduling/resource-reservations.js'
@@ -110,7 +111,8 @@
     const workerTable: WorkerTable = new WorkerTable(configuration, new InheritedLeases(leaseMilliseconds, earlierOwners, clock, log), earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
-    const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, this._fleetTime, clock, metrics, log)
+    const pendingStarts = new PendingStarts()
+    const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, pendingStarts, this._fleetTime, clock, metrics, log)
     const outcomes = new StartOutcomeHandler(schedule, scheduledJobs, workerTable, clock, metrics, log)
     const leaseBounds = new LeaseBounds(jobTable, writer, term, this._fleetTime, log)
     const losses = new WorkerLossHandler(schedule, scheduledJobs, leaseBounds, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, this._fleetTime, clock, metrics, log)
@@ -122,7 +124,7 @@
       workerFeed, clock, random, metrics, log
     )
     const placement = new PlacementTask(
-      schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, leaseBounds, pace,
+      schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, leaseBounds, pendingStarts, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
     const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, losses, placement, clock, log)
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -16,6 +16,7 @@
 import { ScheduledJob } from './scheduled-job.js'
 import type { ScheduledStep } from './scheduled-step.js'
 import type { ScheduledTask } from './scheduled-task.js'
+import type { PendingStarts } from './pending-starts.js'
 import type { RunOrderDispatcher } from './run-order-dispatcher.js'
 import type { ResourceReservations } from './resource-reservations.js'
 import type { WorkerReport } from './worker-report.js'
@@ -39,7 +40,7 @@
     private readonly _configuration: ConfigurationFollowerTask,
     private readonly _writer: DecisionWriterTask,
     private readonly _dispatcher: RunOrderDispatcher,
-    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _fleetTime: FleetTime,
+    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _pendingStarts: PendingStarts, private readonly _fleetTime: FleetTime,
     private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -132,6 +133,7 @@
   place (task: ScheduledTask, worker: FleetWorker, run = task.run + 1): void {
     const now = this._clock.now()
     task.beginRun(worker, run, now)
+    this._pendingStarts.add(task)
     this._reservations.reserve(task, worker)
     this._writer.writeStep(task.step, () => this._startRun(task, worker, run, now))
   }
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -17,6 +17,7 @@
 import type { ScheduledStep } from './scheduled-step.js'
 import type { ScheduledTask } from './scheduled-task.js'
 import type { OwnerPace } from './owner-pace.js'
+import type { PendingStarts } from './pending-starts.js'
 import type { PlacementPolicy } from './placement-policy.js'
 import type { ResourceReservations } from './resource-reservations.js'
 import { RunIsolation } from './run-isolation.js'
@@ -50,7 +51,7 @@
 
   /** @param _viewFreshAt returns the epoch milliseconds as of which the journal and the configuration are known. */
   constructor (
-    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workingSet: WorkingSet, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _losses: WorkerLossHandler, private readonly _leaseBounds: LeaseBounds, private readonly _pace: OwnerPace,
+    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workingSet: WorkingSet, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _losses: WorkerLossHandler, private readonly _leaseBounds: LeaseBounds, private readonly _pendingStarts: PendingStarts, private readonly _pace: OwnerPace,
     private readonly _viewFreshAt: () => number, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -63,7 +64,7 @@
       const changesBefore = this._schedule.changeCount
       if (this._viewFreshAt() > now - MAXIMUM_VIEW_AGE_MILLISECONDS) this._runRound(now)
       await this._clock.sleepUntil(now + this._pace.roundIntervalMilliseconds, signal).catch(() => {})
-      if (this._schedule.changeCount === changesBefore && !isSecondLookNeeded) await this._schedule.changed.wait(this._clock, now + MAXIMUM_ROUND_INTERVAL_MILLISECONDS, signal)
+      if (this._schedule.changeCount === changesBefore && !isSecondLookNeeded && !this._pendingStarts.isFull) await this._schedule.changed.wait(this._clock, now + MAXIMUM_ROUND_INTERVAL_MILLISECONDS, signal)
     }
   }
 
@@ -81,6 +82,7 @@
 
   private _runRound (now: number): void {
     this._workingSet.update(now)
+    this._pendingStarts.update()
     const startableSteps = this._startableSteps(now)
     if (startableSteps.length === 0) return
     const round = { now, workersByPool: this._eligibleWorkersByPool(now), unplaceableByPool: new Map<string, Resources[]>(), isolation: new RunIsolation(now) }
@@ -100,7 +102,7 @@
   private _placeStep (step: ScheduledStep, { now, workersByPool, unplaceableByPool, isolation }: PlacementRound, isIsolated: boolean): number {
     const queue = this._configuration.queueOf(step.job.view.submission)
     const workers = workersByPool.get(queue?.pool ?? '')
-    if (!queue || !workers) return 0
+    if (!queue || !workers || this._pendingStarts.isFull) return 0
     const unplaceable = unplaceableByPool.get(queue.pool) ?? []
     unplaceableByPool.set(queue.pool, unplaceable)
     const startable = step.waitingTasks.filter(({ crashes }) => !crashes.isHeldBack)
@@ -156,11 +158,10 @@
 
   private _placeTasks (tasks: readonly ScheduledTask[], workers: readonly FleetWorker[], unplaceable: Resources[], isolation: RunIsolation): ScheduledTask[] {
     const placed: ScheduledTask[] = []
-    const now = this._clock.now()
     for (const task of tasks) {
       const { requiredLabel, maximumPerWorker } = task.step.definition
-      if (!task.isOverdue(now) && unplaceable.some(demand => fitsWithin(demand, task.reservation))) break
-      if (!this._isWithinUpperLimit(task)) break
+      if (!task.isOverdue(this._clock.now()) && unplaceable.some(demand => fitsWithin(demand, task.reservation))) break
+      if (!this._isWithinUpperLimit(task) || this._pendingStarts.isFull) break
       const candidates = this._candidateWorkers(task, workers, isolation)
       const worker = task.crashes.isEmpty ? this._policy.chooseWorker(task, candidates) : isolation.choose(candidates)
       if (!worker) {
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -95,6 +95,11 @@
     return this.runState === 'running' || this.runState === 'stopping'
   }
 
+  /** Whether the current run has been decided on, and its start has no outcome yet. */
+  get isStartPending (): boolean {
+    return this.phase === 'placed' && (this.runState === 'intended' || this.runState === 'starting')
+  }
+
   /** Whether the current run may still crash its worker by its start: no report has shown yet that it has been running for a while. */
   get isOnTrial (): boolean {
     if (!this.worker) return false
--- a/stand-ins/emulator/emulator-dialer.ts
+++ b/stand-ins/emulator/emulator-dialer.ts
@@ -20,6 +20,8 @@
   override async call ({ path, headers = {}, body, deadline, signal }: Parameters<CallClient['call']>[0]): ReturnType<CallClient['call']> {
     const bytes = body === undefined ? Buffer.alloc(0) : Buffer.isBuffer(body) ? body : Buffer.from(JSON.stringify(body))
     if (this._emulator.refusesConnections(this._address)) return this._refuse()
+    if (this._address !== this._emulator.addresses.store) await this._emulator.faults.makeCall(this._caller, this._clock)
+    if (signal.aborted || this._clock.now() >= deadline) return Left(new CallError('unsent', 'not sent by the deadline'))
     const responded = this._emulator.handle({ caller: this._caller, address: this._address, path, headers, body: bytes, isAborted: () => signal.aborted })
     const expired = this._clock.sleepUntil(deadline, signal).then(() => null, () => null)
     // The emulator returns null for a call without a response; the caller then waits until its deadline, unless the connection is reset.
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -58,6 +58,11 @@
   /** Delay of a late start, in milliseconds. */
   lateStartMilliseconds = 3_000
 
+  /** Time that each call of a caller to other services than the store takes of its processor, in milliseconds; it makes one after the other. */
+  readonly callMilliseconds = new Map<string, number>()
+  /** Epoch milliseconds until which the calls so far occupy each such caller. */
+  private readonly _callersBusyUntil = new Map<string, number>()
+
   /** Time that a call to the advice service takes, in milliseconds. */
   adviceMilliseconds = 0
   /** Addresses at which connections are refused although a worker is there. */
@@ -89,6 +94,15 @@
     return scope === 'platform' || (scope === 'store' && isStoreCall)
   }
 
+  /** Waits until the processor of a caller has made a call. */
+  async makeCall (caller: string, clock: Clock): Promise<void> {
+    const milliseconds = this.callMilliseconds.get(caller)
+    if (milliseconds === undefined) return
+    const madeAt = Math.max(clock.now(), this._callersBusyUntil.get(caller) ?? 0) + milliseconds
+    this._callersBusyUntil.set(caller, madeAt)
+    await clock.sleepUntil(madeAt)
+  }
+
   /** Waits until the link of a caller has carried a response; the link carries one response at a time. */
   private async _transmit (caller: string, { body }: StoreResponse, clock: Clock): Promise<void> {
     const bytesPerSecond = this.linkBytesPerSecond.get(caller)
