Apply the disruption budget to runs that have just started as well

A wave ended a lasting task at work while more of its step were away than may be. A run whose worker hasn't reported it yet counted as not at work, and was stopped without a look at the other tasks of its step; a report may be a second old. After the loss of a rack most tasks of a step have just started. Now the budget applies to each run on a cordoned worker: one that isn't at work yet soon is.

--- a/src/capacity/evacuation-task.ts
+++ b/src/capacity/evacuation-task.ts
@@ -54,8 +54,8 @@
 
   private _relocate (task: ScheduledTask, worker: FleetWorker, now: number): void {
     if (!this._fitsElsewhere(task, worker, now)) return
-    // A draining worker stops its tasks anyway; on a cordoned one the disruption budget applies.
-    if (!worker.entry.isDraining && task.isFullyRunning && !this._isWithinBudget(task, now)) return
+    // A draining worker stops its tasks anyway; on a cordoned one the disruption budget applies, also to a run that may be at work since its worker's last report.
+    if (!worker.entry.isDraining && !this._isWithinBudget(task, now)) return
     this._schedule.stop(task)
   }
 
