Shut out starts without a response by a raised fencing token

What callers saw: a lasting task had no run for as long as its worker reported but answered neither its start nor the stop, while other runs kept the worker's lease going (20 s, the length of the test).

Cause: only the answer to a stop, or the end of the lease, showed that such a start wasn't carried out later.

Change: the owner raises the worker's fencing token when a start got no response. A worker that has answered a call with the raised token refuses the start from then on, so a complete report that was requested with it shows whether the run exists. A refusal of a call that an own raised token has overtaken is `superseded` and doesn't end the term. Tokens belong to the worker's ID for the whole term, since a worker that is listed again may have seen them. Stops end once their run is known not to exist. The lease that isn't extended (hasOnlyUnsettledRuns) stays: without it, the test with a row of an unknown form fails.

The three constructor calls in tests/platform-http-clients.test.ts take a fence instead of a term.

--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -33,6 +33,7 @@
 import type { Advisor } from '../scheduling/advisor.js'
 import { DecisionWriterTask } from '../scheduling/decision-writer-task.js'
 import { FleetSchedule } from '../scheduling/fleet-schedule.js'
+import { OrderFences } from '../scheduling/order-fences.js'
 import { OwnerPace } from '../scheduling/owner-pace.js'
 import { OutcomeRetentionTask } from '../scheduling/outcome-retention-task.js'
 import { ScheduledJobTable } from '../scheduling/scheduled-job-table.js'
@@ -117,7 +118,7 @@
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(this._storeClient, WORKER_TOPIC, clock, log), record => WorkerCodec.decode(record), log)
     const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
-      workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(this._dialer), term,
+      workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(this._dialer), new OrderFences(term),
       worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseBounds, permit, leaseMilliseconds, pace, onLost, clock, random, metrics, log),
       workerFeed, clock, random, metrics, log
     )
--- a/src/ownership/term-task.ts
+++ b/src/ownership/term-task.ts
@@ -15,10 +15,14 @@
 import type { OwnerFactory } from './owner-factory.js'
 import type { TermClaim } from './term-claim.js'
 import type { TermHolder } from './term-holder.js'
+import { TOKENS_PER_TERM } from './tokens-per-term.js'
 
-/** Range of the random part of a term's number, which keeps two processes from claiming the same term. */
+/** Range of the random part of a term's number, in units of the tokens per term; it keeps two processes from claiming the same term. */
 const RANDOM_TERM_RANGE = 2 ** 20
 
+/** Least difference between the numbers of two terms without their random parts. */
+const TERM_RANGE = RANDOM_TERM_RANGE * TOKENS_PER_TERM
+
 /** Timeout of one attempt to claim a term, in milliseconds. */
 const CLAIM_TIMEOUT_MILLISECONDS = 1_500
 
@@ -55,7 +59,7 @@
   }
 
   override async run (signal: AbortSignal): Promise<void> {
-    const term = (Math.floor(this._decisions.jobTable.term.number / RANDOM_TERM_RANGE) + 1) * RANDOM_TERM_RANGE + this._random.integer(RANDOM_TERM_RANGE)
+    const term = (Math.floor(this._decisions.jobTable.term.number / TERM_RANGE) + 1) * TERM_RANGE + this._random.integer(RANDOM_TERM_RANGE) * TOKENS_PER_TERM
     const accepted = await this._claim(term, signal)
     if (accepted === null) return
     const { claim, submissionsRead } = accepted
--- a/src/platform/http-worker-client.ts
+++ b/src/platform/http-worker-client.ts
@@ -3,6 +3,7 @@
  */
 import { Left, Right, type Either } from 'purify-ts/Either'
 import * as z from 'zod'
+import type { OrderFence } from '../scheduling/order-fence.js'
 import type { StartRunOrder } from '../scheduling/start-run-order.js'
 import { WorkerClient } from '../scheduling/worker-client.js'
 import type { WorkerEntry } from '../scheduling/worker-entry.js'
@@ -18,12 +19,12 @@
 
 const RefusalResponse = z.object({ reason: z.string().default('') })
 
-/** Each request names the expected incarnation of the worker and carries the term as its fencing token. */
+/** Each request names the expected worker and carries its fencing token. */
 export class HttpWorkerClient extends WorkerClient {
   private readonly _headers: Readonly<Record<string, string>>
 
-  constructor (private readonly _client: CallClient, { id }: WorkerEntry, private readonly _term: number) {
-    super()
+  constructor (private readonly _client: CallClient, { id }: WorkerEntry, fence: OrderFence) {
+    super(fence)
     this._headers = { 'expect-instance': id }
   }
 
@@ -33,7 +34,6 @@
       run: order.run,
       spec: order.specification,
       deadline_ms: Math.round(leaseDeadline),
-      fencing_token: this._term,
       ...(order.checkpoint === '' ? {} : { last_checkpoint: order.checkpoint }),
       ...(order.ticket === '' ? {} : { ticket: order.ticket })
     }
@@ -41,16 +41,15 @@
   }
 
   override async stop (task: string, run: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, void>> {
-    return (await this._call('run-stop', { task, run, fencing_token: this._term }, deadline, signal)).map(() => undefined)
+    return (await this._call('run-stop', { task, run }, deadline, signal)).map(() => undefined)
   }
 
   override async throttle (task: string, run: number, percent: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, void>> {
-    return (await this._call('pace', { task, run, percent, fencing_token: this._term }, deadline, signal)).map(() => undefined)
+    return (await this._call('pace', { task, run, percent }, deadline, signal)).map(() => undefined)
   }
 
   override async renewLease (request: Parameters<WorkerClient['renewLease']>[0], deadline: number, signal: AbortSignal): Promise<Either<WorkerError, WorkerReport>> {
     const body = {
-      fencing_token: this._term,
       last_seen: request.acknowledged,
       ...(request.leaseDeadline === null ? {} : { deadline_ms: Math.round(request.leaseDeadline) }),
       ...(request.waitMilliseconds > 0 ? { wait_ms: Math.round(request.waitMilliseconds) } : {})
@@ -64,7 +63,8 @@
   }
 
   private async _call (operation: string, body: object, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, Buffer>> {
-    const response = await this._client.call({ method: 'POST', path: `/samphireglade/${operation}`, headers: this._headers, body, deadline, signal })
+    const { token } = this.fence
+    const response = await this._client.call({ method: 'POST', path: `/samphireglade/${operation}`, headers: this._headers, body: { ...body, fencing_token: token }, deadline, signal })
     if (response.isLeft()) {
       const failure = response.extract() as CallError
       return Left(new WorkerError(failure.kind, failure.message, failure.isConnectionRefused))
@@ -75,6 +75,7 @@
     if (status === 429 || status === 503) return Left(new WorkerError('unhealthy', `the worker returned status ${status}`))
     if (status !== 409) return Left(new WorkerError(status >= 500 ? 'unknown' : 'invalid', `the worker returned status ${status}`))
     const reason = parseJson(RefusalResponse, responseBody).map(refused => refused.reason).orDefault('')
-    return Left(new WorkerError(CONFLICT_ERROR_KINDS[reason] ?? 'invalid', `the worker refused the request: ${reason}`))
+    const kind = CONFLICT_ERROR_KINDS[reason] ?? 'invalid'
+    return Left(new WorkerError(kind === 'fenced' && token < this.fence.token ? 'superseded' : kind, `the worker refused the request: ${reason}`))
   }
 }
--- a/src/platform/http-worker-connector.ts
+++ b/src/platform/http-worker-connector.ts
@@ -1,6 +1,7 @@
 /**
  * Creates HTTP clients for workers.
  */
+import type { OrderFence } from '../scheduling/order-fence.js'
 import type { WorkerClient } from '../scheduling/worker-client.js'
 import { WorkerConnector } from '../scheduling/worker-connector.js'
 import type { WorkerEntry } from '../scheduling/worker-entry.js'
@@ -16,7 +17,7 @@
     super()
   }
 
-  override connect (entry: WorkerEntry, term: number): WorkerClient {
-    return new HttpWorkerClient(this._dialer.dial(entry.address, CONNECTIONS_PER_WORKER), entry, term)
+  override connect (entry: WorkerEntry, fence: OrderFence): WorkerClient {
+    return new HttpWorkerClient(this._dialer.dial(entry.address, CONNECTIONS_PER_WORKER), entry, fence)
   }
 }
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -44,8 +44,13 @@
   acknowledgedSequence = 0
   /** Run completions up to this sequence number have been applied to the schedule. */
   appliedSequence = 0
-  /** Runs, as `TASK/RUN`, whose start got no response and whose stop hasn't been answered: they may begin for as long as the lease is extended. */
-  readonly unsettledRuns = new Set<string>()
+  /**
+   * Fencing tokens of the starts that got no response, by `TASK/RUN`. Until a call with a higher token or the stop of the run has been answered, the run may begin
+   * for as long as the lease is extended.
+   */
+  readonly unsettledRuns = new Map<string, number>()
+  /** Highest fencing token that the present incarnation is known to have seen: it carries out no order with a lower one. */
+  private _confirmedToken = 0
   /** Tasks with a reservation on the worker. */
   readonly tasks = new Set<ScheduledTask>()
   /** Those of them beside which nothing else may start while they are on trial. */
@@ -126,6 +131,11 @@
     return this.unsettledRuns.size + this.tasks.size > 0 && [...this.tasks].every(({ runState }) => runState === 'settling')
   }
 
+  /** Whether the worker may not have seen the token that is in force, so that it may carry out orders with a lower one. */
+  get isFenceUnconfirmed (): boolean {
+    return this.client !== null && this.client.fence.token > this._confirmedToken
+  }
+
   /** Whether the reservations exceed the capacity, which may have shrunk. */
   get isOvercommitted (): boolean {
     return !fitsWithin(this._reserved, this.entry.capacity)
@@ -170,6 +180,12 @@
     this._clearFailedCalls()
   }
 
+  /** Records that the worker has answered a call with a fencing token. */
+  confirmToken (token: number): void {
+    this._confirmedToken = Math.max(this._confirmedToken, token)
+    for (const [run, startToken] of this.unsettledRuns) if (startToken < token) this.unsettledRuns.delete(run)
+  }
+
   /** Returns whether the response to the present call is late, so that it may not come. */
   isResponseOverdue (now: number): boolean {
     return now >= this.responseOverdueAt && this.tasks.size > 0
@@ -196,6 +212,7 @@
     this.isEntryCurrent = false
     this.hasOrphanedRuns = false
     this.unsettledRuns.clear()
+    this._confirmedToken = 0
     this._unknownLeasesExpireAt = unknownLeasesExpireAt
     this._hasInheritedLeases = false
     this._leaseDeadline = 0
--- a/src/scheduling/lease-renewal-task.ts
+++ b/src/scheduling/lease-renewal-task.ts
@@ -78,6 +78,7 @@
       }
       const { client } = worker
       if (!client) return
+      const { token } = client.fence
       const response = await client.renewLease(request, responseDeadline, signal)
       worker.responseOverdueAt = Infinity
       if (signal.aborted) return
@@ -86,7 +87,7 @@
         continue
       }
       this._recordSuccess()
-      this._reconciler.applyReport(worker, response.unsafeCoerce(), requestedAt)
+      this._reconciler.applyReport(worker, response.unsafeCoerce(), requestedAt, token)
       if (worker.hasLeaseBound) this._leaseBounds.withdraw(worker)
       await this._permit.untilInForce(this._clock.now() + TAKEOVER_WAIT_MILLISECONDS, signal)
       if (worker.hasLeaseBound || worker.appliedSequence !== worker.acknowledgedSequence) await this._pauseUntilWritten(signal)
@@ -105,9 +106,9 @@
   }
 
   private _longPollMilliseconds (): number {
-    const { lastReportAt, appliedSequence, acknowledgedSequence, hasLeaseBound, tasks } = this._worker
+    const { lastReportAt, appliedSequence, acknowledgedSequence, hasLeaseBound, isFenceUnconfirmed, tasks } = this._worker
     // After a failed call, the next response shows at once that the worker is back, while its lease still runs.
-    if (lastReportAt === 0 || !this._permit.isInForce || this._consecutiveFailures > 0 || hasLeaseBound || appliedSequence !== acknowledgedSequence) return 0
+    if (lastReportAt === 0 || !this._permit.isInForce || this._consecutiveFailures > 0 || hasLeaseBound || isFenceUnconfirmed || appliedSequence !== acknowledgedSequence) return 0
     // An idle worker has no lease to extend, but its responses count as well for whether leases may be extended without the store.
     return tasks.size === 0 ? this._permit.limitWaitForResumption(IDLE_LONG_POLL_MILLISECONDS) : this._permit.limitWait(LONG_POLL_MILLISECONDS)
   }
@@ -139,6 +140,8 @@
   /** Handles a failed call; returns whether to go on renewing. */
   private async _handleFailure (error: WorkerError, signal: AbortSignal): Promise<boolean> {
     const { _worker: worker } = this
+    // The worker has done nothing but is there; the next call carries the higher token.
+    if (error.kind === 'superseded') return true
     this._metrics.count('workers.hold_failures', 1, error.kind)
     this._consecutiveFailures += 1
     worker.reportDueAt = 0
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -44,6 +44,8 @@
   confirmedAt = Infinity
   /** Epoch milliseconds at which the start order of the current run was sent, or of the first report if another owner sent it; 0 before. */
   startOrderedAt = 0
+  /** Fencing token of the start order of the current run; Infinity before it was sent, or if another owner sent it. */
+  startToken = Infinity
   /** Reading of the worker's clock when the current run was decided on, in milliseconds; 0 if unknown, and for tasks that don't last. */
   placedAtClock: number
   /** Time for which the current run had been active when this owner first saw it, in milliseconds. */
@@ -116,6 +118,7 @@
     this.runState = 'intended'
     this.confirmedAt = Infinity
     this.startOrderedAt = 0
+    this.startToken = Infinity
     this._earlierMilliseconds = 0
     this.progressPercent = 0
     this.speedPercent = 100
--- a/src/scheduling/start-outcome-handler.ts
+++ b/src/scheduling/start-outcome-handler.ts
@@ -47,14 +47,15 @@
    * Records that a start order got no response: the run may exist or may still start. The caller stops it.
    *
    * @param sentAt epoch milliseconds at which the order was sent.
+   * @param token its fencing token.
    */
-  startUnconfirmed (task: ScheduledTask, worker: FleetWorker, run: number, sentAt: number): void {
+  startUnconfirmed (task: ScheduledTask, worker: FleetWorker, run: number, sentAt: number, token: number): void {
     this._workers.suspect(worker, sentAt)
-    worker.unsettledRuns.add(`${task.name}/${run}`)
+    worker.unsettledRuns.set(`${task.name}/${run}`, token)
     worker.avoidedUntil = this._clock.now() + AVOIDANCE_MILLISECONDS
     if (task.run !== run || task.worker === null) return
     this._metrics.count('runs.unsettled')
-    this._log.emit('start unsettled', { task: task.name, run, worker: task.workerId })
+    this._log.emit('start unsettled', { task: task.name, run, worker: task.workerId, token })
     task.hasBegun = true
     task.runState = 'settling'
     if (task.step.definition.isGang) this._schedule.stopOtherGangMembers(task)
@@ -68,6 +69,12 @@
     task.confirmedAt = Math.min(task.confirmedAt, this._clock.now())
   }
 
+  /** Whether the stop of a run has to be repeated: the run may exist, or may begin. */
+  isStopNeeded (worker: FleetWorker, taskName: string, run: number): boolean {
+    const task = this._jobs.findTask(taskName)
+    return worker.hasOrphanedRuns || worker.unsettledRuns.has(`${taskName}/${run}`) || (task?.worker === worker && task.run === run)
+  }
+
   /** Records that the worker answered the stop of a run, so that it is not repeated. */
   stopRefused (worker: FleetWorker, taskName: string, run: number): void {
     worker.unsettledRuns.delete(`${taskName}/${run}`)
--- a/src/scheduling/start-run-task.ts
+++ b/src/scheduling/start-run-task.ts
@@ -15,7 +15,7 @@
 import type { WorkerError } from './worker-error.js'
 
 /**
- * Sends the start order once. If there is no response, the run is stopped, so that it cannot start late. Shutdown of
+ * Sends the start order once. If there is no response, the worker's fencing token is raised, so that the run cannot start late, and the run is stopped. Shutdown of
  * the owner does not abort the order: an aborted start would waste the run if the worker had accepted it.
  */
 export class StartRunTask extends Task {
@@ -37,6 +37,8 @@
     const order = { task: name, run, specification: task.step.job.view.submission.specification, checkpoint: task.checkpoint, ticket: this._advice.ticket(task.step, worker) ?? '' }
     const span = trace.getTracer('samphireglade').startSpan('start run', { attributes: { task: name, run, worker: worker.entry.id } }, context.active())
     const sentAt = this._clock.now()
+    const token = client?.fence.token ?? 0
+    task.startToken = token
     const response = client ? await client.start(order, worker.leaseDeadline, sentAt + this._pace.responseMilliseconds, NEVER_ABORTED) : null
     this._metrics.timing('runs.start.milliseconds', this._clock.now() - sentAt)
     if (response?.isLeft()) span.setStatus({ code: SpanStatusCode.ERROR })
@@ -52,7 +54,8 @@
       if (error.kind === 'ticket') this._advice.discardTicket(task.step, worker)
       this._outcomes.startRefused(task, worker, run, error)
     } else {
-      this._outcomes.startUnconfirmed(task, worker, run, sentAt)
+      client?.fence.raiseAbove(token)
+      this._outcomes.startUnconfirmed(task, worker, run, sentAt, token)
       this._dispatcher.stop(worker, name, run)
     }
   }
--- a/src/scheduling/stop-run-task.ts
+++ b/src/scheduling/stop-run-task.ts
@@ -15,7 +15,7 @@
 /** Base and ceiling of the backoff between attempts. */
 const BACKOFF_MILLISECONDS = [100, 500] as const
 
-/** Retries the stop order until the worker responds. After that, the worker refuses to start the run if it has not started yet. */
+/** Retries the stop order until the worker responds, or the run is known not to exist. After a response, the worker refuses to start the run if it has not started yet. */
 export class StopRunTask extends Task {
   override readonly name = 'stop-run'
   private readonly _backoff: Backoff
@@ -47,6 +47,7 @@
         return
       }
       await this._backoff.pause(signal)
+      if (!this._outcomes.isStopNeeded(worker, this._taskName, this._run)) return
     }
   }
 }
--- a/src/scheduling/worker-client.ts
+++ b/src/scheduling/worker-client.ts
@@ -2,6 +2,7 @@
  * Interface for calls to a worker.
  */
 import type { Either } from 'purify-ts/Either'
+import type { OrderFence } from './order-fence.js'
 import type { StartRunOrder } from './start-run-order.js'
 import type { WorkerError } from './worker-error.js'
 import type { WorkerReport } from './worker-report.js'
@@ -16,8 +17,10 @@
   readonly waitMilliseconds: number
 }
 
-/** Client of one incarnation of a worker. All its calls carry the same term as fencing token. */
+/** Client of a worker. Each call carries the fencing token that is in force when it is made. */
 export abstract class WorkerClient {
+  constructor (readonly fence: OrderFence) {}
+
   /** Starts a run. Idempotent for a run that has started already. */
   abstract start (order: StartRunOrder, leaseDeadline: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, void>>
 
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -53,14 +53,16 @@
    * Applies a report. Only a complete one shows that a run doesn't exist.
    *
    * @param requestedAt epoch milliseconds at which the report was requested: it must contain all runs confirmed before.
+   * @param token fencing token of that request: the report must contain all runs whose start carried a lower one and will ever begin.
    */
-  applyReport (worker: FleetWorker, report: WorkerReport, requestedAt: number): void {
+  applyReport (worker: FleetWorker, report: WorkerReport, requestedAt: number, token: number): void {
     if (report.incarnation !== 0 && report.incarnation !== worker.entry.incarnation) this._startIncarnation(worker, report.incarnation, report)
     const isFirst = worker.lastReportAt === 0
     this._workers.recordReport(worker, report.clock, requestedAt)
     this._losses.workerReported(worker.entry)
+    worker.confirmToken(token)
     this._applyCompletions(worker, report.ended)
-    this._applyActiveRuns(worker, report, requestedAt)
+    this._applyActiveRuns(worker, report, requestedAt, token)
     this._stopUnneededRuns(worker, report.running)
     if (report.unreadableRows !== worker.unreadableRows) this._log.emit('unreadable runs ignored', { worker: worker.entry.id, rows: report.unreadableRows })
     worker.unreadableRows = report.unreadableRows
@@ -89,12 +91,12 @@
     }
   }
 
-  private _applyActiveRuns (worker: FleetWorker, { clock, running, isComplete }: WorkerReport, requestedAt: number): void {
+  private _applyActiveRuns (worker: FleetWorker, { clock, running, isComplete }: WorkerReport, requestedAt: number, token: number): void {
     const activeRunsByTask = new Map(running.map(activeRun => [activeRun.task, activeRun]))
     for (const task of [...worker.tasks]) {
       const activeRun = activeRunsByTask.get(task.name)
       if (activeRun?.run === task.run) this._confirmRun(task, activeRun, clock)
-      else if (isComplete && (task.runState === 'inherited' || task.confirmedAt < requestedAt)) this._schedule.runLost(task, 'not reported by its worker')
+      else if (isComplete && (task.runState === 'inherited' || task.confirmedAt < requestedAt || (task.runState === 'settling' && task.startToken < token))) this._schedule.runLost(task, 'not reported by its worker')
       // The earlier stop order may have failed along with the connection; only a confirmed stop shows that the run can no longer start.
       else if (task.runState === 'settling') this._dispatcher.stop(worker, task.name, task.run)
     }
--- a/src/scheduling/worker-registry-follower-task.ts
+++ b/src/scheduling/worker-registry-follower-task.ts
@@ -6,6 +6,7 @@
 import type { Supervisor } from '../supervision/supervisor.js'
 import type { Task } from '../supervision/task.js'
 import type { FleetWorker } from './fleet-worker.js'
+import type { OrderFences } from './order-fences.js'
 import type { WorkerChange } from './worker-change.js'
 import type { WorkerEntry } from './worker-entry.js'
 import type { WorkerReconciler } from './worker-reconciler.js'
@@ -32,7 +33,7 @@
    * @param _createLeaseRenewalTask creates the lease renewal task of a worker.
    */
   constructor (
-    private readonly _workers: WorkerTable, private readonly _reconciler: WorkerReconciler, private readonly _leaseSupervisor: Supervisor, private readonly _connector: WorkerConnector, private readonly _term: number,
+    private readonly _workers: WorkerTable, private readonly _reconciler: WorkerReconciler, private readonly _leaseSupervisor: Supervisor, private readonly _connector: WorkerConnector, private readonly _fences: OrderFences,
     private readonly _createLeaseRenewalTask: (worker: FleetWorker) => Task, ...rest: ConstructorParameters<typeof FeedFollowerTask<WorkerChange>>
   ) {
     super(...rest)
@@ -90,12 +91,14 @@
   /** Starts the lease renewal task of a worker; a worker that is listed again while its task still runs keeps that task. */
   private _startLeaseRenewal (worker: FleetWorker): void {
     if (worker.client) return
-    worker.client = this._connector.connect(worker.entry, this._term)
+    const { entry: { id } } = worker
+    worker.client = this._connector.connect(worker.entry, this._fences.of(id))
     const { client } = worker
     this._leaseSupervisor.start(this._createLeaseRenewalTask(worker)).ended.then(async () => {
       if (worker.client === client) worker.client = null
       await client.close()
-    }).catch((error: Error) => this.log.emit('closing worker connections failed', { worker: worker.entry.id, cause: error.message }))
+      if (!this._workers.find(id)) this._fences.forgetUnraised(id)
+    }).catch((error: Error) => this.log.emit('closing worker connections failed', { worker: id, cause: error.message }))
   }
 
   private _unlistMissing (): void {
--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -52,6 +52,8 @@
   stopMilliseconds = 0
   /** Whether the worker refuses every start for want of room. */
   refusesStarts = false
+  /** Whether a start is late by the lease that is in force rather than by its own deadline. */
+  judgesStartsByLease = false
   /** Rows of other kinds that the worker lists beside its own. */
   oddRows: { running: unknown[], ended: unknown[] } = { running: [], ended: [] }
   /** Called when a run crashes the worker. */
@@ -132,7 +134,7 @@
     if (this._runs.get(task)?.run === run) return { status: 200, body: { clock_ms: this.clockMilliseconds } }
     this._extendLease(deadline)
     if (run <= (this._highestRuns.get(task) ?? 0)) return this._refuse('old')
-    if (deadline <= this.clockMilliseconds) return this._refuse('late')
+    if ((this.judgesStartsByLease ? this._leaseDeadline : deadline) <= this.clockMilliseconds) return this._refuse('late')
     if (this.refusesStarts) return this._refuse('room')
     this._highestRuns.set(task, run)
     this.speeds.delete(task)
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -49,6 +49,8 @@
   readonly workerLatencies = new Map<string, number>()
   /** Latency of a start on a worker, in milliseconds. */
   startLatencyMilliseconds = 0
+  /** Latency of the lease renewals of a worker, in milliseconds, so that orders overtake them. */
+  renewalLatencyMilliseconds = 0
   /** Number of starts, from the next one on, that get no response and are executed late. */
   lateStarts = 0
   /** Addresses of workers at which every start gets no response and is executed late. */
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -191,6 +191,7 @@
       return null
     }
     if (call === 'run-start' && this.faults.startLatencyMilliseconds > 0) await this._clock.sleepUntil(this._clock.now() + this.faults.startLatencyMilliseconds)
+    if (call === 'hold' && this.faults.renewalLatencyMilliseconds > 0) await this._clock.sleepUntil(this._clock.now() + this.faults.renewalLatencyMilliseconds)
     if (isAborted?.() || worker.isTerminated) return null
     const response = await worker.handle(call, order)
     return worker.isDisconnected || this._workersByAddress.get(address) !== worker ? null : this._encode(response)
--- a/tests/platform-http-clients.test.ts
+++ b/tests/platform-http-clients.test.ts
@@ -6,6 +6,7 @@
 import { createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net'
 import { Worker } from 'node:worker_threads'
 import { afterEach, expect, test } from 'vitest'
+import { OrderFence } from '../src/scheduling/order-fence.js'
 import type { WorkerError } from '../src/scheduling/worker-error.js'
 import type { FeedError } from '../src/feeds/feed-error.js'
 import { HttpClient } from '../src/platform/http-client.js'
@@ -84,8 +85,8 @@
   if (!worker) throw new Error('the emulator added no worker')
   const connection = await connect(worker.address)
   const entry = { id: worker.id, incarnation: worker.startedAt, pool: 'work', address: worker.address, availabilityZone: 'a', capacity: { millicores: 1, memoryMegabytes: 1, accelerators: 0 }, labels: [], isDraining: false }
-  const olderTermClient = new HttpWorkerClient(connection, entry, 7)
-  const newerTermClient = new HttpWorkerClient(connection, entry, 8)
+  const olderTermClient = new HttpWorkerClient(connection, entry, new OrderFence(7))
+  const newerTermClient = new HttpWorkerClient(connection, entry, new OrderFence(8))
   const renewal = { leaseDeadline: worker.clockMilliseconds + 5_000, acknowledged: 0, waitMilliseconds: 0 }
   const order = { task: 'a.0.0.0', run: 1, specification: '', checkpoint: '', ticket: '' }
   expect((await olderTermClient.renewLease(renewal, distantDeadline(), signal)).isRight()).toBe(true)
@@ -96,7 +97,7 @@
   expect(report.ended).toEqual([{ sequence: 1, task: 'a.0.0.0', run: 1, result: 'done', checkpoint: '' }])
   expect(errorKind((await newerTermClient.start(order, worker.clockMilliseconds + 5_000, distantDeadline(), signal)).extract())).toBe('outdated')
   expect((await newerTermClient.renewLease({ ...renewal, acknowledged: 1 }, distantDeadline(), signal)).unsafeCoerce().ended).toEqual([])
-  const otherWorkerClient = new HttpWorkerClient(connection, { ...entry, id: 'i-other' }, 9)
+  const otherWorkerClient = new HttpWorkerClient(connection, { ...entry, id: 'i-other' }, new OrderFence(9))
   expect(errorKind((await otherWorkerClient.renewLease(renewal, distantDeadline(), signal)).extract())).toBe('replaced')
 })
 
