Log what the list of VMs shows of workers with tasks

While runs of a silent worker wait for its lease, the platform's list of VMs may say already that the worker has ended. The inventory now logs when a list says something else of a worker with tasks than the list before, and when a worker reports that a list had lacked. No decision changes.

--- a/src/capacity/inventory-task.ts
+++ b/src/capacity/inventory-task.ts
@@ -9,6 +9,7 @@
 import type { FleetVirtualMachineList } from './fleet-virtual-machine-list.js'
 import type { FleetVirtualMachineControl } from './fleet-virtual-machine-control.js'
 import type { VirtualMachineError } from './virtual-machine-error.js'
+import type { WorkerListings } from './worker-listings.js'
 
 /** Time between two list requests while moves or maintenance are in progress, in milliseconds: a fraction of the time that a move takes. */
 const FAST_POLL_INTERVAL_MILLISECONDS = 400
@@ -36,7 +37,7 @@
   private _changesExpectedUntil = 0
   private _isReachable = true
 
-  constructor (private readonly _control: FleetVirtualMachineControl, private readonly _clock: Clock, private readonly _log: DecisionLog) {
+  constructor (private readonly _control: FleetVirtualMachineControl, private readonly _listings: WorkerListings, private readonly _clock: Clock, private readonly _log: DecisionLog) {
     super()
   }
 
@@ -72,7 +73,7 @@
       if (signal.aborted) return
       this._recordReachability(result.isRight(), result.isLeft() ? (result.extract() as VirtualMachineError).message : '')
       if (result.isRight()) {
-        this._applyList(result.unsafeCoerce())
+        this._applyList(result.unsafeCoerce(), requestedAt)
         this._listedAt = requestedAt
         this.changed.notify()
       }
@@ -84,8 +85,11 @@
   }
 
   /** Replaces the rows of all VMs in the list, and drops those that are gone. */
-  private _applyList ({ virtualMachines, unreadableRows }: FleetVirtualMachineList): void {
-    if (unreadableRows === 0) this._completeLists += 1
+  private _applyList ({ virtualMachines, unreadableRows }: FleetVirtualMachineList, requestedAt: number): void {
+    if (unreadableRows === 0) {
+      this._completeLists += 1
+      this._listings.apply(virtualMachines, requestedAt, this._clock.now())
+    }
     if (unreadableRows !== this._unreadableRows) this._log.emit('unreadable VMs ignored', { rows: unreadableRows, virtualMachines: virtualMachines.length })
     this._unreadableRows = unreadableRows
     for (const virtualMachine of virtualMachines) {
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -10,6 +10,7 @@
 import { PoolSizingTask } from '../capacity/pool-sizing-task.js'
 import { EvacuationTask } from '../capacity/evacuation-task.js'
 import { WaveTask } from '../capacity/wave-task.js'
+import { WorkerListings } from '../capacity/worker-listings.js'
 import type { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
 import type { FleetTime } from '../jobs/fleet-time.js'
 import type { JobJournal } from '../jobs/job-journal.js'
@@ -149,7 +150,7 @@
     claim: TermClaim, onLost: (cause: string) => void
   ): Task[] {
     const { _clock: clock, _log: log, _configuration: configuration, _decisions: { jobTable } } = this
-    const inventory = new InventoryTask(control, clock, log)
+    const inventory = new InventoryTask(control, new WorkerListings(workerTable, log), clock, log)
     const locks = new VirtualMachineLocks(jobTable, writer, term, claim.earlierOwners.lastContactAt, timings.holderChangeMilliseconds, this._fleetTime, clock)
     const statusPublisher = new TopicWaveStatusPublisher(new KeyedTopic(this._storeClient, STATUS_TOPIC, clock, log))
     const isTakeoverDone = (): boolean => takeover.isDone
