Give up the runs of a worker once the platform's lists show that it has ended

A new owner, and the present one, waited for every lease that may have been extended: 5 to 17 s after the loss of a worker, and longer if no worker could tell how old the last owner's record is. Callers see a lasting task that doesn't run, with room for it. The platform's list of VMs has the end of the worker within 0.1 s, but src/scheduling/ read nothing of it: conclusions depended on workers that may be lost with the rest.

The incarnation of a silent worker has ended if two lists in a row lack it, both requested 0.3 s after this owner knew of it and after its last report, and complete as far as they show (docs/PLATFORM.md, "Ends that the platform shows"). Its runs are requeued, with a possible crash in the same record unless an order took the VM down. Runs whose start got no response wait as before: the next incarnation under the ID may carry it out. The list is asked every 0.4 s while runs wait for a silent worker, no more often otherwise. Without control of VMs nothing changes.

Before, five of the tests in tests/worker-ends.test.ts failed: 4.6 s instead of under 3 s with the same owner, 11.5 s instead of under 4 s with a new one (the worker without power, gone, moved, replaced). The others guard what must not be concluded; each fails when its condition is taken out.

--- a/src/capacity/inventory-task.ts
+++ b/src/capacity/inventory-task.ts
@@ -86,10 +86,8 @@
 
   /** Replaces the rows of all VMs in the list, and drops those that are gone. */
   private _applyList ({ virtualMachines, unreadableRows }: FleetVirtualMachineList, requestedAt: number): void {
-    if (unreadableRows === 0) {
-      this._completeLists += 1
-      this._listings.apply(virtualMachines, requestedAt, this._clock.now())
-    }
+    if (unreadableRows === 0) this._completeLists += 1
+    this._listings.apply(unreadableRows === 0 ? virtualMachines : null, requestedAt, this._clock.now())
     if (unreadableRows !== this._unreadableRows) this._log.emit('unreadable VMs ignored', { rows: unreadableRows, virtualMachines: virtualMachines.length })
     this._unreadableRows = unreadableRows
     for (const virtualMachine of virtualMachines) {
--- a/src/capacity/pool-sizing-task.ts
+++ b/src/capacity/pool-sizing-task.ts
@@ -10,6 +10,7 @@
 import { Task } from '../supervision/task.js'
 import type { FleetVirtualMachine } from './fleet-virtual-machine.js'
 import type { InventoryTask } from './inventory-task.js'
+import { LIST_LAG_ALLOWANCE_MILLISECONDS } from './list-lag-allowance.js'
 import type { FleetVirtualMachineControl } from './fleet-virtual-machine-control.js'
 import type { VirtualMachineError } from './virtual-machine-error.js'
 import type { VirtualMachineLocks } from './virtual-machine-locks.js'
@@ -28,9 +29,6 @@
 /** Fraction of the platform's order rate that moves may use; waves and repeated orders need the rest. */
 const ORDER_RATE_FRACTION = 0.75
 
-/** Allowance for lists that lag behind, in milliseconds: only a list requested this long after a move's duration proves that the VM has arrived. */
-const LIST_LAG_ALLOWANCE_MILLISECONDS = 300
-
 /** Time after which a move whose VM doesn't appear in its pool is abandoned, in milliseconds. */
 const MOVE_TIMEOUT_MILLISECONDS = 15_000
 
--- a/src/capacity/wave-task.ts
+++ b/src/capacity/wave-task.ts
@@ -12,6 +12,7 @@
 import type { Clock } from '../supervision/clock.js'
 import { Task } from '../supervision/task.js'
 import type { InventoryTask } from './inventory-task.js'
+import { LIST_LAG_ALLOWANCE_MILLISECONDS } from './list-lag-allowance.js'
 import type { FleetVirtualMachineControl } from './fleet-virtual-machine-control.js'
 import type { VirtualMachineError } from './virtual-machine-error.js'
 import type { VirtualMachineLocks } from './virtual-machine-locks.js'
@@ -28,9 +29,6 @@
 /** Delay before an order or a publication is retried, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 500
 
-/** Allowance for lists that lag behind, in milliseconds: only a list requested this long after a maintenance's duration proves that the VM has returned. */
-const LIST_LAG_ALLOWANCE_MILLISECONDS = 300
-
 /** State of one VM of a wave in this term. */
 interface MaintenanceOrder {
   /** Epoch milliseconds since which the VM's worker is cordoned; 0 before. */
--- a/src/capacity/worker-listings.ts
+++ b/src/capacity/worker-listings.ts
@@ -5,6 +5,7 @@
 import type { FleetWorker } from '../scheduling/fleet-worker.js'
 import type { WorkerTable } from '../scheduling/worker-table.js'
 import type { FleetVirtualMachine } from './fleet-virtual-machine.js'
+import { LIST_LAG_ALLOWANCE_MILLISECONDS } from './list-lag-allowance.js'
 
 /** Limit on the lines that one list causes, each of changes and of contradictions. */
 const MAXIMUM_LINES_PER_LIST = 24
@@ -17,9 +18,11 @@
   readonly state: FleetVirtualMachine['state'] | 'replaced' | 'gone' | 'unlisted'
   /** ID of the worker on the VM; empty for none. */
   readonly present: string
+  /** Whether the VM has been moved or maintained since it was listed with the worker. */
+  readonly isTakenDown: boolean
 }
 
-/** The first list that lacks a worker, while later ones lack it as well. */
+/** The first list that lacks a worker although it should have it, while later ones lack it as well. */
 interface WorkerAbsence {
   readonly incarnation: number
   /** Epoch milliseconds at which its last page had arrived. */
@@ -27,44 +30,83 @@
   isContradicted: boolean
 }
 
-/** Logs what changes in the lists for workers with tasks, and whether a worker responds that a list lacked. */
+/** The rows of one list of which all could be decoded. */
+interface CompleteList {
+  /** Epoch milliseconds at which it was requested. */
+  readonly requestedAt: number
+  readonly rowsById: ReadonlyMap<string, FleetVirtualMachine>
+  readonly rowsByWorker: ReadonlyMap<string, FleetVirtualMachine>
+}
+
+/** Keeps the last two lists, and logs what changes in them for workers with tasks, and whether a worker responds that a list lacked. */
 export class WorkerListings {
+  private _previousList: CompleteList | null = null
+  private _list: CompleteList | null = null
   private _listings = new Map<string, WorkerListing>()
+  /** States that the log has for workers with tasks; `up` if it has none. */
+  private readonly _loggedStates = new Map<string, WorkerListing['state']>()
   private readonly _absences = new Map<string, WorkerAbsence>()
 
   constructor (private readonly _workers: WorkerTable, private readonly _log: DecisionLog) {}
 
   /**
-   * Applies a list of which all rows could be decoded.
+   * Whether two lists in a row, both requested after `since` (epoch milliseconds), lack a worker. A list may come in parts between which a VM changes its place. So both
+   * must have the VM that the worker was listed on, or the same VMs, none of which has changed its place then.
+   */
+  isMissing (worker: string, since: number): boolean {
+    const { _previousList: previous, _list: list } = this
+    if (!previous || !list || previous.requestedAt < since || list.requestedAt < previous.requestedAt + LIST_LAG_ALLOWANCE_MILLISECONDS) return false
+    if (previous.rowsByWorker.has(worker) || list.rowsByWorker.has(worker)) return false
+    const virtualMachine = this._listings.get(worker)?.virtualMachine ?? ''
+    if (previous.rowsById.has(virtualMachine) && list.rowsById.has(virtualMachine)) return true
+    return previous.rowsById.size === list.rowsById.size && [...list.rowsById.keys()].every(id => previous.rowsById.has(id))
+  }
+
+  /** Whether the VM that a worker was listed on has been moved or maintained since. */
+  isTakenDown (worker: string): boolean {
+    return this._listings.get(worker)?.isTakenDown ?? false
+  }
+
+  /**
+   * Applies a list.
    *
+   * @param virtualMachines its rows; null if some could not be decoded, which may be those of any worker.
    * @param requestedAt epoch milliseconds at which it was requested.
    * @param respondedAt epoch milliseconds at which its last page had arrived.
    */
-  apply (virtualMachines: readonly FleetVirtualMachine[], requestedAt: number, respondedAt: number): void {
-    const rowsByWorker = new Map(virtualMachines.flatMap(row => row.worker === '' ? [] : [[row.worker, row]]))
-    const rowsById = new Map(virtualMachines.map(row => [row.id, row]))
-    const listings = new Map<string, WorkerListing>()
-    for (const worker of this._workers.all) listings.set(worker.entry.id, this._listing(worker.entry.id, rowsByWorker, rowsById))
-    const contradicting: FleetWorker[] = []
-    for (const worker of this._workers.all) {
-      if (this._contradicts(worker)) contradicting.push(worker)
-      if (rowsByWorker.has(worker.entry.id)) this._absences.delete(worker.entry.id)
-      else if (this._absences.get(worker.entry.id)?.incarnation !== worker.entry.incarnation) this._absences.set(worker.entry.id, { incarnation: worker.entry.incarnation, respondedAt, isContradicted: false })
+  apply (virtualMachines: readonly FleetVirtualMachine[] | null, requestedAt: number, respondedAt: number): void {
+    this._previousList = this._list
+    this._list = virtualMachines && {
+      requestedAt,
+      rowsById: new Map(virtualMachines.map(row => [row.id, row])),
+      rowsByWorker: new Map(virtualMachines.flatMap(row => row.worker === '' ? [] : [[row.worker, row]]))
+    }
+    if (this._list) this._compare(this._list, respondedAt)
+  }
+
+  private _compare (list: CompleteList, respondedAt: number): void {
+    const before = this._listings
+    this._listings = new Map([...this._workers.all].map(({ entry: { id } }) => [id, this._listing(id, list, before.get(id))]))
+    const workers = [...this._workers.all]
+    const contradicting = workers.filter(worker => this._contradicts(worker))
+    for (const { entry: { id, incarnation }, incarnationKnownAt } of workers) {
+      if (list.rowsByWorker.has(id)) this._absences.delete(id)
+      else if (list.requestedAt >= incarnationKnownAt + LIST_LAG_ALLOWANCE_MILLISECONDS && this._absences.get(id)?.incarnation !== incarnation) this._absences.set(id, { incarnation, respondedAt, isContradicted: false })
     }
-    const changed = [...this._workers.all].filter(({ entry: { id }, tasks }) => tasks.size > 0 && listings.get(id)?.state !== (this._listings.get(id)?.state ?? 'up'))
-    for (const worker of changed.slice(0, MAXIMUM_LINES_PER_LIST)) this._logChange(worker, listings, requestedAt, changed.length)
-    for (const worker of contradicting.slice(0, MAXIMUM_LINES_PER_LIST)) this._logContradiction(worker, listings, requestedAt)
-    for (const id of this._absences.keys()) if (!listings.has(id)) this._absences.delete(id)
-    this._listings = listings
+    for (const known of [this._absences, this._loggedStates]) for (const id of known.keys()) if (!this._listings.has(id)) known.delete(id)
+    const changed = workers.filter(({ entry: { id }, tasks }) => tasks.size > 0 && this._listings.get(id)?.state !== (this._loggedStates.get(id) ?? 'up'))
+    for (const worker of changed.slice(0, MAXIMUM_LINES_PER_LIST)) this._logChange(worker, list, changed.length)
+    for (const worker of contradicting.slice(0, MAXIMUM_LINES_PER_LIST)) this._logContradiction(worker, list)
   }
 
-  private _listing (id: string, rowsByWorker: ReadonlyMap<string, FleetVirtualMachine>, rowsById: ReadonlyMap<string, FleetVirtualMachine>): WorkerListing {
-    const own = rowsByWorker.get(id)
-    if (own) return { virtualMachine: own.id, state: own.state, present: id }
-    const virtualMachine = this._listings.get(id)?.virtualMachine ?? ''
+  private _listing (worker: string, { rowsById, rowsByWorker }: CompleteList, before: WorkerListing | undefined): WorkerListing {
+    const own = rowsByWorker.get(worker)
+    if (own) return { virtualMachine: own.id, state: own.state, present: worker, isTakenDown: false }
+    const virtualMachine = before?.virtualMachine ?? ''
     const row = rowsById.get(virtualMachine)
-    if (row) return { virtualMachine, state: row.worker === '' ? row.state : 'replaced', present: row.worker }
-    return { virtualMachine, state: virtualMachine === '' ? 'unlisted' : 'gone', present: '' }
+    const isTakenDown = before?.isTakenDown === true || row?.state === 'moving' || row?.state === 'maintenance'
+    if (row) return { virtualMachine, state: row.worker === '' ? row.state : 'replaced', present: row.worker, isTakenDown }
+    return { virtualMachine, state: virtualMachine === '' ? 'unlisted' : 'gone', present: '', isTakenDown }
   }
 
   /** Whether the incarnation that a list lacked has since sent a report that was requested after that list had arrived. */
@@ -73,14 +115,15 @@
     return absence?.incarnation === incarnation && !absence.isContradicted && reportRequestedAt > absence.respondedAt
   }
 
-  private _logChange (worker: FleetWorker, listings: ReadonlyMap<string, WorkerListing>, requestedAt: number, changed: number): void {
-    const { entry: { id, incarnation }, lastReportAt, unreachableSince, tasks } = worker
-    const listing = listings.get(id)
+  private _logChange ({ entry: { id, incarnation }, lastReportAt, unreachableSince, tasks }: FleetWorker, { requestedAt }: CompleteList, changed: number): void {
+    const listing = this._listings.get(id)
+    const from = this._loggedStates.get(id) ?? 'up'
+    if (listing) this._loggedStates.set(id, listing.state)
     this._log.emit('worker listing changed', {
       worker: id,
       incarnation,
       virtualMachine: listing?.virtualMachine ?? '',
-      from: this._listings.get(id)?.state ?? '',
+      from,
       to: listing?.state ?? '',
       present: listing?.present ?? '',
       requestedAt: Math.round(requestedAt),
@@ -91,14 +134,13 @@
     })
   }
 
-  private _logContradiction ({ entry: { id, incarnation }, reportRequestedAt }: FleetWorker, listings: ReadonlyMap<string, WorkerListing>, requestedAt: number): void {
+  private _logContradiction ({ entry: { id, incarnation }, reportRequestedAt }: FleetWorker, { requestedAt }: CompleteList): void {
     const absence = this._absences.get(id)
     if (absence) absence.isContradicted = true
     this._log.emit('worker responds that a list lacked', {
       worker: id,
       incarnation,
-      from: this._listings.get(id)?.state ?? '',
-      to: listings.get(id)?.state ?? '',
+      to: this._listings.get(id)?.state ?? '',
       absentAt: Math.round(absence?.respondedAt ?? 0),
       reportRequestedAt: Math.round(reportRequestedAt),
       requestedAt: Math.round(requestedAt)
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -9,6 +9,7 @@
 import { PoolCapacity } from '../capacity/pool-capacity.js'
 import { PoolSizingTask } from '../capacity/pool-sizing-task.js'
 import { EvacuationTask } from '../capacity/evacuation-task.js'
+import { ListedWorkerEnds } from '../capacity/listed-worker-ends.js'
 import { WaveTask } from '../capacity/wave-task.js'
 import { WorkerListings } from '../capacity/worker-listings.js'
 import type { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
@@ -53,6 +54,7 @@
 import { LeaseRenewalPermit } from '../scheduling/lease-renewal-permit.js'
 import { LeaseRenewalTask } from '../scheduling/lease-renewal-task.js'
 import { RecentStartAttributionPolicy } from '../scheduling/recent-start-attribution-policy.js'
+import { UnknownWorkerEnds } from '../scheduling/unknown-worker-ends.js'
 import { WorkerLossHandler } from '../scheduling/worker-loss-handler.js'
 import { WorkerTable } from '../scheduling/worker-table.js'
 import { WorkingSet } from '../scheduling/working-set.js'
@@ -122,8 +124,10 @@
       worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseBounds, permit, leaseMilliseconds, pace, onLost, clock, random, metrics, log),
       workerFeed, clock, random, metrics, log
     )
+    const listings = new WorkerListings(workerTable, log)
+    const inventory = this._virtualMachineControl && new InventoryTask(this._virtualMachineControl, listings, clock, log)
     const placement = new PlacementTask(
-      schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, leaseBounds, pace,
+      schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, inventory ? new ListedWorkerEnds(listings, inventory) : new UnknownWorkerEnds(), leaseBounds, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
     const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, losses, placement, clock, log)
@@ -135,7 +139,7 @@
       new OutcomeRetentionTask(jobTable, scheduledJobs, writer, this._submissionWriter, timings.statusRetentionMilliseconds, clock),
       new EvacuationTask(schedule, workerTable, clock), new FillerThrottlingTask(workerTable, clock, random, metrics, log)
     ]) owner.add(child)
-    if (this._virtualMachineControl) for (const child of this._capacityTasks(this._virtualMachineControl, scheduledJobs, workerTable, writer, takeover, timings, term, claim, onLost)) owner.add(child)
+    if (this._virtualMachineControl && inventory) for (const child of this._capacityTasks(this._virtualMachineControl, inventory, scheduledJobs, workerTable, writer, takeover, timings, term, claim, onLost)) owner.add(child)
     return owner
   }
 
@@ -146,11 +150,10 @@
 
   /** Tasks that move VMs between pools and carry out maintenance waves. */
   private _capacityTasks (
-    control: FleetVirtualMachineControl, scheduledJobs: ScheduledJobTable, workerTable: WorkerTable, writer: DecisionWriterTask, takeover: TakeoverTask, timings: FleetTimings, term: number,
+    control: FleetVirtualMachineControl, inventory: InventoryTask, scheduledJobs: ScheduledJobTable, workerTable: WorkerTable, writer: DecisionWriterTask, takeover: TakeoverTask, timings: FleetTimings, term: number,
     claim: TermClaim, onLost: (cause: string) => void
   ): Task[] {
     const { _clock: clock, _log: log, _configuration: configuration, _decisions: { jobTable } } = this
-    const inventory = new InventoryTask(control, new WorkerListings(workerTable, log), clock, log)
     const locks = new VirtualMachineLocks(jobTable, writer, term, claim.earlierOwners.lastContactAt, timings.holderChangeMilliseconds, this._fleetTime, clock)
     const statusPublisher = new TopicWaveStatusPublisher(new KeyedTopic(this._storeClient, STATUS_TOPIC, clock, log))
     const isTakeoverDone = (): boolean => takeover.isDone
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -24,6 +24,8 @@
   isListed = true
   /** Epoch milliseconds at which this term first saw the registry entry; 0 for a placeholder. */
   firstSeenAt = 0
+  /** Epoch milliseconds by which this term knew of the present incarnation. */
+  incarnationKnownAt = Infinity
   /** Whether the worker has reported runs that no placement accounts for, so that more of its resources are in use than are reserved. */
   hasOrphanedRuns = false
   /** Number of runs and completions in the last report that could not be decoded. */
@@ -121,6 +123,19 @@
     return !this.isListed || this.lastReportAt > 0 || this.unreachableSince > 0
   }
 
+  /** Whether the worker doesn't respond: a call has failed since its last report, or there is nowhere to call it. */
+  get isSilent (): boolean {
+    return this.unreachableSince > 0 || (this.client === null && this.lastReportAt === 0)
+  }
+
+  /**
+   * Tasks whose runs end with the incarnation. A start that got no response may be carried out late, by the next incarnation under the ID: the others keep their
+   * reservation until that incarnation reports, or the lease has expired.
+   */
+  get tasksOfIncarnation (): ScheduledTask[] {
+    return [...this.tasks].filter(({ runState }) => runState !== 'starting' && runState !== 'settling')
+  }
+
   /** Whether its lease serves no run but such of which the start is unsettled: once it has expired, none of them runs or begins. */
   get hasOnlyUnsettledRuns (): boolean {
     return this.unsettledRuns.size + this.tasks.size > 0 && [...this.tasks].every(({ runState }) => runState === 'settling')
@@ -189,10 +204,12 @@
   /**
    * Switches to a new incarnation and resets the clock, lease and sequence numbers of the previous one.
    *
+   * @param now epoch milliseconds.
    * @param unknownLeasesExpireAt epoch milliseconds by which any lease that orders to the previous incarnation may have extended has expired.
    */
-  startIncarnation (incarnation: number, unknownLeasesExpireAt: number): void {
+  startIncarnation (incarnation: number, now: number, unknownLeasesExpireAt: number): void {
     this.entry = { ...this.entry, incarnation }
+    this.incarnationKnownAt = now
     this.isEntryCurrent = false
     this.hasOrphanedRuns = false
     this.unsettledRuns.clear()
--- /dev/null
+++ b/src/scheduling/worker-ends.ts
@@ -0,0 +1,16 @@
+/**
+ * Interface to what the platform knows of the ends of workers.
+ */
+import type { FleetWorker } from './fleet-worker.js'
+
+/** Tells workers that have ended from those that are only silent, whoever ended them and whatever owners are lost. */
+export abstract class WorkerEnds {
+  /**
+   * Returns whether the present incarnation of a worker has certainly ended: `by-order` if an order took its VM down, `unexplained` otherwise, null while
+   * that isn't known. An end that has been returned holds for good; another incarnation under the ID may follow.
+   */
+  abstract endOf (worker: FleetWorker): 'by-order' | 'unexplained' | null
+
+  /** Asks the platform more often until `deadline` (epoch milliseconds). */
+  abstract expectUntil (deadline: number): void
+}
--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -52,11 +52,14 @@
     if (worker.tasks.size === 0) return
     const crashes = worker.refusesConnections && this._isUnplanned(worker) ? this._attribution.attribute(worker) : []
     this._logLoss('worker lease expired', worker, 'lease expired', crashes)
-    // In the record that releases the run, so that no owner can be lost between the two.
-    if (!worker.hasSuccessor) for (const crash of crashes) this._recordUnproven(worker, crash)
-    for (const task of [...worker.tasks]) this._schedule.runLost(task, 'lease expired')
-    if (worker.hasLeaseBound) this._leaseBounds.withdraw(worker)
-    if (worker.hasSuccessor) for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
+    this._release(worker, [...worker.tasks], 'lease expired', crashes)
+  }
+
+  /** Handles an end that the platform shows. Unless it was planned the worker has crashed if another incarnation takes its place, which a later owner may see: it may as well be gone for good. */
+  endShown (worker: FleetWorker, end: 'by-order' | 'unexplained'): void {
+    const crashes = end === 'unexplained' && this._isUnplanned(worker) ? this._attribution.attribute(worker) : []
+    this._logLoss('worker end shown', worker, end, crashes)
+    this._release(worker, worker.tasksOfIncarnation, 'the platform shows that its worker has ended', crashes)
   }
 
   /** Records the crashes of a worker whose lease had expired before another incarnation took its place. */
@@ -79,6 +82,14 @@
     }
   }
 
+  /** Requeues tasks, together with the possible crashes in the same records, so that no owner can be lost between the two. */
+  private _release (worker: FleetWorker, tasks: readonly ScheduledTask[], cause: string, crashes: readonly AttributedCrash[]): void {
+    if (!worker.hasSuccessor) for (const crash of crashes) this._recordUnproven(worker, crash)
+    for (const task of tasks) this._schedule.runLost(task, cause)
+    if (worker.hasLeaseBound && worker.tasks.size === 0) this._leaseBounds.withdraw(worker)
+    if (worker.hasSuccessor) for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
+  }
+
   private _recordUnproven ({ entry: { id, address, incarnation } }: FleetWorker, { task, run, role }: AttributedCrash): void {
     task.crashes.recordUnproven({ run, role, unprovenEnd: { worker: id, address, incarnation, forgetAt: Math.round(this._fleetTime.now()) + UNPROVEN_RETENTION_MILLISECONDS } })
     this._jobs.updateUnprovenCrashes(task)
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -152,7 +152,7 @@
     const survivors = [...worker.tasks].filter(task => mayFollow(task) || reported.some(other => other.task === task.name && other.run === task.run))
     const lost = [...worker.tasks].filter(task => !survivors.includes(task) && task.runState !== 'starting' && task.runState !== 'settling' && task.runState !== 'intended')
     this._losses.incarnationEnded(worker, 'worker restarted', lost, survivors)
-    worker.startIncarnation(incarnation, this._workers.unknownLeasesExpireAt)
+    worker.startIncarnation(incarnation, this._clock.now(), this._workers.unknownLeasesExpireAt)
     for (const task of worker.tasks) {
       if (task.runState === 'intended') continue
       task.incarnation = incarnation
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -170,6 +170,7 @@
     const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation))
     worker.hasLeaseBound = this._earlierOwners.leaseBound(entry.id, entry.incarnation) !== null
     worker.boundExpiresAt = Infinity
+    worker.incarnationKnownAt = this._clock.now()
     return worker
   }
 
