Cordon the VM for a wave, not the worker that it had

An owner repeated a maintenance that had got no response, and ended runs that it had itself placed on the VM since. The cordon was a flag of one FleetWorker: a worker that was forgotten and listed again, or replaced by another one, had a new object without it, and a repeated order did not look for tasks.

The cordon now belongs to the VM (VirtualMachineCordons, lifted with the VM's lock). As long as the order isn't known to be carried out, each round cordons the worker that the newest list shows, and no order is sent or repeated before that worker has no tasks in a list that is as new as its cordon. The worker table keeps the IDs of cordoned workers, so that one that is listed again is cordoned from its first moment.

What remains: a worker that replaces another one can get a run in the up to 0.4 s before a list shows it on its VM. A repeated order then waits for the run's end, but one that is under way already ends it.

--- a/src/capacity/virtual-machine-locks.ts
+++ b/src/capacity/virtual-machine-locks.ts
@@ -5,6 +5,7 @@
 import type { JobTable } from '../jobs/job-table.js'
 import type { DecisionWriterTask } from '../scheduling/decision-writer-task.js'
 import type { Clock } from '../supervision/clock.js'
+import type { VirtualMachineCordons } from './virtual-machine-cordons.js'
 
 /** Kind of work that holds a VM's lock. */
 type LockHolder = 'wave' | 'move'
@@ -25,11 +26,12 @@
   /**
    * @param _predecessorLastContactAt epoch milliseconds before which the previous owner wrote its last record.
    * @param _holderChangeMilliseconds minimum time between orders of two owners to one VM.
+   * @param cordons cordons of the VMs; a VM that is unlocked has none.
    * @param fleetTime the time in which the journal has orders and what became of them.
    */
   constructor (
     private readonly _jobTable: JobTable, private readonly _writer: DecisionWriterTask, private readonly _term: number, private readonly _predecessorLastContactAt: number,
-    private readonly _holderChangeMilliseconds: number, readonly fleetTime: FleetTime, private readonly _clock: Clock
+    private readonly _holderChangeMilliseconds: number, readonly cordons: VirtualMachineCordons, readonly fleetTime: FleetTime, private readonly _clock: Clock
   ) {}
 
   /** Returns the holder of a VM's lock, or null. */
@@ -45,9 +47,11 @@
     return true
   }
 
-  /** Unlocks a VM that `holder` has locked. */
+  /** Unlocks a VM that `holder` has locked, and lets its workers get new tasks again. */
   release (virtualMachine: string, holder: LockHolder): void {
-    if (this._holders.get(virtualMachine) === holder) this._holders.delete(virtualMachine)
+    if (this._holders.get(virtualMachine) !== holder) return
+    this._holders.delete(virtualMachine)
+    this.cordons.lift(virtualMachine)
   }
 
   /** Whether the newest order to a VM is this term's, or was sent long enough ago. */
--- a/src/capacity/wave-task.ts
+++ b/src/capacity/wave-task.ts
@@ -33,8 +33,6 @@
 
 /** State of one VM of a wave in this term. */
 interface MaintenanceOrder {
-  /** Epoch milliseconds since which the VM's worker is cordoned; 0 before. */
-  cordonedAt: number
   /** Epoch milliseconds at which the newest order was sent; 0 before the first. */
   sentAt: number
   /** Epoch milliseconds at which the platform confirmed that the order was carried out; 0 before. */
@@ -97,8 +95,8 @@
     candidates.sort((left, right) => this._load(left) - this._load(right))
     for (const id of candidates.slice(0, available)) {
       this._locks.acquire(id, 'wave')
+      this._locks.cordons.cordon(id)
       const worker = this._workerOf(id)
-      if (worker) worker.isCordoned = true
       this._log.emit('worker cordoned for maintenance', { virtualMachine: id, wave: wave.wave, worker: worker?.entry.id ?? '', runs: worker?.tasks.size ?? 0, deadline: wave.deadline, now: Math.round(now) })
     }
   }
@@ -106,8 +104,8 @@
   private _orderMaintenance (wave: Wave, id: string, progress: WaveProgress, now: number, signal: AbortSignal): void {
     const order = this._orderOf(wave, id)
     if (order.completedAt > 0) return
-    // An order recorded by an earlier term may never have been sent: the VM is evacuated again before the order is repeated.
-    if (order.sentAt === 0 && !this._isEvacuated(wave, id, now)) return
+    // An order without a response, or recorded by an earlier term, may not have been carried out: the VM is evacuated again before the order is repeated.
+    if (!this._isEvacuated(wave, id)) return
     if (!progress.ordered.includes(id)) {
       this._recordProgress({ ...progress, ordered: [...progress.ordered, id] })
       return
@@ -128,19 +126,11 @@
       .catch((error: Error) => this._handleResponse(wave, id, order, error as VirtualMachineError))
   }
 
-  /** Cordons the VM's worker. Returns whether the worker has no tasks and a list requested since then shows that it is still the VM's worker. */
-  private _isEvacuated (wave: Wave, id: string, now: number): boolean {
-    const order = this._orderOf(wave, id)
+  /** Cordons the worker of a VM that this task has locked, or that the wave's record names. Returns whether it is known to have no tasks. */
+  private _isEvacuated (wave: Wave, id: string): boolean {
     const isRecorded = this._jobTable.wave(wave.wave)?.ordered.includes(id) ?? false
     if (isRecorded && !this._locks.acquire(id, 'wave')) return false
-    if (this._locks.holder(id) !== 'wave') return false
-    if (order.cordonedAt === 0) order.cordonedAt = now
-    const worker = this._workerOf(id)
-    if (worker && !worker.isCordoned) {
-      worker.isCordoned = true
-      order.cordonedAt = now
-    }
-    return this._inventory.listedAt > order.cordonedAt && (worker === null || worker.tasks.size === 0)
+    return this._locks.holder(id) === 'wave' && this._locks.cordons.isEvacuated(id)
   }
 
   private _handleResponse (wave: Wave, id: string, order: MaintenanceOrder, error: VirtualMachineError | null): void {
@@ -156,8 +146,6 @@
   /** Releases a VM, so that its worker gets new tasks. */
   private _reopen (id: string): void {
     this._locks.release(id, 'wave')
-    const worker = this._workerOf(id)
-    if (worker) worker.isCordoned = false
   }
 
   /** Records when the VM will have returned at the latest, so that no next owner orders its maintenance and counts the time again. */
@@ -207,7 +195,7 @@
 
   private _orderOf (wave: Wave, id: string): MaintenanceOrder {
     const key = `${wave.wave} ${id}`
-    const order = this._orders.get(key) ?? { cordonedAt: 0, sentAt: 0, completedAt: this._inheritedCompletion(wave, id), hasReturned: false, isInFlight: false }
+    const order = this._orders.get(key) ?? { sentAt: 0, completedAt: this._inheritedCompletion(wave, id), hasReturned: false, isInFlight: false }
     this._orders.set(key, order)
     return order
   }
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -4,6 +4,7 @@
 import { DemandPoolSizingPolicy } from '../capacity/demand-pool-sizing-policy.js'
 import { InventoryTask } from '../capacity/inventory-task.js'
 import type { FleetVirtualMachineControl } from '../capacity/fleet-virtual-machine-control.js'
+import { VirtualMachineCordons } from '../capacity/virtual-machine-cordons.js'
 import { VirtualMachineLocks } from '../capacity/virtual-machine-locks.js'
 import { PoolStateCollector } from '../capacity/pool-state-collector.js'
 import { PoolCapacity } from '../capacity/pool-capacity.js'
@@ -150,7 +151,7 @@
   ): Task[] {
     const { _clock: clock, _log: log, _configuration: configuration, _decisions: { jobTable } } = this
     const inventory = new InventoryTask(control, clock, log)
-    const locks = new VirtualMachineLocks(jobTable, writer, term, claim.earlierOwners.lastContactAt, timings.holderChangeMilliseconds, this._fleetTime, clock)
+    const locks = new VirtualMachineLocks(jobTable, writer, term, claim.earlierOwners.lastContactAt, timings.holderChangeMilliseconds, new VirtualMachineCordons(workerTable, inventory, clock), this._fleetTime, clock)
     const statusPublisher = new TopicWaveStatusPublisher(new KeyedTopic(this._storeClient, STATUS_TOPIC, clock, log))
     const isTakeoverDone = (): boolean => takeover.isDone
     const isViewCurrent = (): boolean => isTakeoverDone() && this._viewFreshAt() > clock.now() - MAXIMUM_VIEW_AGE_MILLISECONDS
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -24,6 +24,8 @@
 /** Listed workers, and unlisted ones that may still run something. */
 export class WorkerTable {
   private readonly _workers = new Map<string, FleetWorker>()
+  /** IDs of cordoned workers, also of those that have been forgotten and may be listed again. */
+  private readonly _cordonedIds = new Set<string>()
 
   /**
    * @param _earlierOwners owners whose leases may not have expired.
@@ -147,6 +149,20 @@
     this._log.emit('worker unlisted', { worker: id, runs: worker.tasks.size, heardAt: worker.lastReportAt })
   }
 
+  /** Keeps new tasks off the worker with an ID, also if it is listed only later, because its VM is about to be moved or maintained. */
+  cordon (id: string): void {
+    this._cordonedIds.add(id)
+    const worker = this._workers.get(id)
+    if (worker) worker.isCordoned = true
+  }
+
+  /** Undoes `cordon`. */
+  liftCordon (id: string): void {
+    this._cordonedIds.delete(id)
+    const worker = this._workers.get(id)
+    if (worker) worker.isCordoned = false
+  }
+
   /** Removes a worker unless tasks are still placed on it. */
   removeIfIdle (worker: FleetWorker): void {
     if (worker.tasks.size === 0) this._workers.delete(worker.entry.id)
@@ -170,6 +186,7 @@
     const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation))
     worker.hasLeaseBound = this._earlierOwners.leaseBound(entry.id, entry.incarnation) !== null
     worker.boundExpiresAt = Infinity
+    worker.isCordoned = this._cordonedIds.has(entry.id)
     return worker
   }
 
