Repeat no move of a VM that has got tasks again

An owner repeated the move of a VM that had got no response, and ended runs that it had itself placed there since: the worker had been forgotten and listed again, or replaced, and the cordon was a flag of the object that it had before; a repeated order did not look for tasks.

Pool sizing now uses the cordons of VMs as waves do: in each round, until the order is known to be carried out, the worker that the newest list shows is cordoned, and the order is repeated only while that worker has no tasks, in a list as new as its cordon. Where the list shows the VM in its new pool, its worker may be at work: it isn't cordoned, and a repeated order has no effect there. A move whose VM stays in use is abandoned 15 s after its newest order.

--- a/src/capacity/pool-sizing-task.ts
+++ b/src/capacity/pool-sizing-task.ts
@@ -31,7 +31,7 @@
 /** Allowance for lists that lag behind, in milliseconds: only a list requested this long after a move's duration proves that the VM has arrived. */
 const LIST_LAG_ALLOWANCE_MILLISECONDS = 300
 
-/** Time after which a move whose VM doesn't appear in its pool is abandoned, in milliseconds. */
+/** Time after which a move whose VM doesn't appear in its pool, or has got tasks again, is abandoned, in milliseconds: the platform carries orders out some seconds late at most. */
 const MOVE_TIMEOUT_MILLISECONDS = 15_000
 
 /** A move in progress; times are in epoch milliseconds, 0 for not yet. */
@@ -159,8 +159,7 @@
 
   private _startMove (candidate: FleetVirtualMachine, to: string, now: number, signal: AbortSignal): void {
     if (!this._locks.acquire(candidate.id, 'move')) return
-    const worker = this._workers.find(candidate.worker)
-    if (worker) worker.isCordoned = true
+    this._locks.cordons.cordon(candidate.id)
     const move: Move = { virtualMachine: candidate.id, from: candidate.pool, to, startedAt: now, sentAt: 0, completedAt: 0, isInFlight: false, isUncertain: false }
     this._moves.set(candidate.id, move)
     this._metrics.count('capacity.moves', 1, to)
@@ -176,7 +175,12 @@
       if (hasArrived || now > move.startedAt + MOVE_TIMEOUT_MILLISECONDS) this._finish(move, hasArrived ? 'in its pool' : 'not seen again')
       return
     }
+    const isEvacuated = this._isEvacuated(move)
     if (move.isInFlight || now < move.sentAt + RETRY_DELAY_MILLISECONDS) return
+    if (!isEvacuated) {
+      if (now > move.sentAt + MOVE_TIMEOUT_MILLISECONDS) this._finish(move, 'in use again')
+      return
+    }
     move.isInFlight = true
     move.sentAt = now
     this._locks.recordOrder(move.virtualMachine, () => this._send(move, signal), () => {
@@ -185,6 +189,12 @@
     })
   }
 
+  /** Cordons the VM's worker, unless the VM is in its new pool already: then a repeated order has no effect. Returns whether an order ends no run. */
+  private _isEvacuated ({ virtualMachine, to, sentAt }: Move): boolean {
+    if (this._inventory.virtualMachineById(virtualMachine)?.pool === to) return true
+    return sentAt === 0 ? this._locks.cordons.cordon(virtualMachine) : this._locks.cordons.isEvacuated(virtualMachine)
+  }
+
   private _send (move: Move, signal: AbortSignal): void {
     this._control.move(move.virtualMachine, move.to, this._term, this._clock.now() + ORDER_TIMEOUT_MILLISECONDS, signal)
       .then(response => this._handleResponse(move, response.isRight() ? null : response.extract() as VirtualMachineError))
@@ -211,9 +221,6 @@
   private _finish (move: Move, result: string): void {
     this._moves.delete(move.virtualMachine)
     this._locks.release(move.virtualMachine, 'move')
-    const listed = this._inventory.virtualMachineById(move.virtualMachine)
-    const worker = listed ? this._workers.find(listed.worker) : null
-    if (worker) worker.isCordoned = false
     this._log.emit('move finished', { virtualMachine: move.virtualMachine, to: move.to, how: result })
   }
 }
