Move VMs by a recent list while earlier owners' orders may be pending

Pool sizing took a VM from the standby pool by a list that was up to 2 s old. Meanwhile a late order of an earlier owner had moved the VM to a pool, where its new worker had got runs of this owner, which the order then ended.

For 15 s after the predecessor's last contact, the VMs are now listed at the fast interval, and a round of pool sizing goes by a list only if it is younger than a move takes, less the list's lag and the order's way: a VM that a late order has taken since can't have its new worker yet. This waits for nothing while lists come in time; it costs about 30 more list calls for each change of owner. Waiting for a list after each lock would have cost each move up to 0.4 s. If lists take longer than about 1 s, or a move is set to take less than that, pool sizing may pause for these 15 s.

--- a/src/capacity/pool-sizing-task.ts
+++ b/src/capacity/pool-sizing-task.ts
@@ -31,6 +31,9 @@
 /** Allowance for lists that lag behind, in milliseconds: only a list requested this long after a move's duration proves that the VM has arrived. */
 const LIST_LAG_ALLOWANCE_MILLISECONDS = 300
 
+/** Time that an order takes from its decision to the platform, in milliseconds: a write to the journal and a call, with a margin. */
+const ORDER_LATENCY_MILLISECONDS = 200
+
 /** Time after which a move whose VM doesn't appear in its pool, or has got tasks again, is abandoned, in milliseconds: the platform carries orders out some seconds late at most. */
 const MOVE_TIMEOUT_MILLISECONDS = 15_000
 
@@ -74,14 +77,21 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const now = this._clock.now()
+      if (this._locks.mayEarlierOrdersBePending) this._inventory.expectChangesUntil(now + ROUND_INTERVAL_MILLISECONDS)
       if (this._inventory.listedAt > 0) {
         for (const move of [...this._moves.values()]) this._advance(move, now, signal)
-        if (this._isViewCurrent()) this._resize(now, signal)
+        if (this._isViewCurrent() && this._isListCurrent(now)) this._resize(now, signal)
       }
       await this._clock.sleepUntil(now + ROUND_INTERVAL_MILLISECONDS, signal).catch(() => {})
     }
   }
 
+  /** Whether a VM that an earlier owner's order has taken since the list can't have its new worker before an order of this round arrives: it is being moved until then. */
+  private _isListCurrent (now: number): boolean {
+    const maximumAge = this._timings.moveMilliseconds - LIST_LAG_ALLOWANCE_MILLISECONDS - ORDER_LATENCY_MILLISECONDS
+    return !this._locks.mayEarlierOrdersBePending || this._inventory.listedAt > now - maximumAge
+  }
+
   private _resize (now: number, signal: AbortSignal): void {
     const pools = this._poolStates.collect(this._moves, now)
     if (pools.length === 0) return
--- a/src/capacity/virtual-machine-locks.ts
+++ b/src/capacity/virtual-machine-locks.ts
@@ -16,6 +16,9 @@
 /** Age of the store's last confirmation of the term up to which orders are sent, in milliseconds; below the silence after which another process claims the next term. */
 const MAXIMUM_CONFIRMATION_AGE_MILLISECONDS = 1_000
 
+/** Time for which the platform may still carry out an order that got no response, in milliseconds: it speaks of seconds. */
+const ORDER_DELAY_MILLISECONDS = 15_000
+
 /**
  * Locks on VMs, kept for one term. Within the term, a VM is locked by either a wave or a move. Across terms, a VM gets
  * no orders for some time after the newest order of another owner, so every order is written to the journal before it is sent.
@@ -54,6 +57,11 @@
     this.cordons.lift(virtualMachine)
   }
 
+  /** Whether the platform may still carry out orders of earlier owners, so that an old list may not show which VMs have got a worker. */
+  get mayEarlierOrdersBePending (): boolean {
+    return this._clock.now() < this._predecessorLastContactAt + ORDER_DELAY_MILLISECONDS
+  }
+
   /** Whether the newest order to a VM is this term's, or was sent long enough ago. */
   isOrderAllowed (virtualMachine: string): boolean {
     const order = this._jobTable.newestOrder(virtualMachine)
