--- a/src/capacity/pool-sizing-task.ts
+++ b/src/capacity/pool-sizing-task.ts
@@ -29,7 +29,10 @@
 /** Fraction of the platform's order rate that moves may use; waves and repeated orders need the rest. */
 const ORDER_RATE_FRACTION = 0.75
 
-/** Time after which a move whose VM doesn't appear in its pool is abandoned, in milliseconds. */
+/** Time that an order takes from its decision to the platform, in milliseconds: a write to the journal and a call, with a margin. */
+const ORDER_LATENCY_MILLISECONDS = 200
+
+/** Time after which a move whose VM doesn't appear in its pool, or has got tasks again, is abandoned, in milliseconds: the platform carries orders out some seconds late at most. */
 const MOVE_TIMEOUT_MILLISECONDS = 15_000
 
 /** A move in progress; times are in epoch milliseconds, 0 for not yet. */
@@ -72,14 +75,21 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const now = this._clock.now()
+      if (this._locks.mayEarlierOrdersBePending) this._inventory.expectChangesUntil(now + ROUND_INTERVAL_MILLISECONDS)
       if (this._inventory.listedAt > 0) {
         for (const move of [...this._moves.values()]) this._advance(move, now, signal)
-        if (this._isViewCurrent()) this._resize(now, signal)
+        if (this._isViewCurrent() && this._isListCurrent(now)) this._resize(now, signal)
       }
       await this._clock.sleepUntil(now + ROUND_INTERVAL_MILLISECONDS, signal).catch(() => {})
     }
   }
 
+  /** Whether a VM that an earlier owner's order has taken since the list can't have its new worker before an order of this round arrives: it is being moved until then. */
+  private _isListCurrent (now: number): boolean {
+    const maximumAge = this._timings.moveMilliseconds - LIST_LAG_ALLOWANCE_MILLISECONDS - ORDER_LATENCY_MILLISECONDS
+    return !this._locks.mayEarlierOrdersBePending || this._inventory.listedAt > now - maximumAge
+  }
+
   private _resize (now: number, signal: AbortSignal): void {
     const pools = this._poolStates.collect(this._moves, now)
     if (pools.length === 0) return
@@ -157,8 +167,7 @@
 
   private _startMove (candidate: FleetVirtualMachine, to: string, now: number, signal: AbortSignal): void {
     if (!this._locks.acquire(candidate.id, 'move')) return
-    const worker = this._workers.find(candidate.worker)
-    if (worker) worker.isCordoned = true
+    this._locks.cordons.cordon(candidate.id)
     const move: Move = { virtualMachine: candidate.id, from: candidate.pool, to, startedAt: now, sentAt: 0, completedAt: 0, isInFlight: false, isUncertain: false }
     this._moves.set(candidate.id, move)
     this._metrics.count('capacity.moves', 1, to)
@@ -174,7 +183,12 @@
       if (hasArrived || now > move.startedAt + MOVE_TIMEOUT_MILLISECONDS) this._finish(move, hasArrived ? 'in its pool' : 'not seen again')
       return
     }
+    const isEvacuated = this._isEvacuated(move)
     if (move.isInFlight || now < move.sentAt + RETRY_DELAY_MILLISECONDS) return
+    if (!isEvacuated) {
+      if (now > move.sentAt + MOVE_TIMEOUT_MILLISECONDS) this._finish(move, 'in use again')
+      return
+    }
     move.isInFlight = true
     move.sentAt = now
     this._locks.recordOrder(move.virtualMachine, () => this._send(move, signal), () => {
@@ -183,6 +197,12 @@
     })
   }
 
+  /** Cordons the VM's worker, unless the VM is in its new pool already: then a repeated order has no effect. Returns whether an order ends no run. */
+  private _isEvacuated ({ virtualMachine, to, sentAt }: Move): boolean {
+    if (this._inventory.virtualMachineById(virtualMachine)?.pool === to) return true
+    return sentAt === 0 ? this._locks.cordons.cordon(virtualMachine) : this._locks.cordons.isEvacuated(virtualMachine)
+  }
+
   private _send (move: Move, signal: AbortSignal): void {
     this._control.move(move.virtualMachine, move.to, this._term, this._clock.now() + ORDER_TIMEOUT_MILLISECONDS, signal)
       .then(response => this._handleResponse(move, response.isRight() ? null : response.extract() as VirtualMachineError))
@@ -209,9 +229,6 @@
   private _finish (move: Move, result: string): void {
     this._moves.delete(move.virtualMachine)
     this._locks.release(move.virtualMachine, 'move')
-    const listed = this._inventory.virtualMachineById(move.virtualMachine)
-    const worker = listed ? this._workers.find(listed.worker) : null
-    if (worker) worker.isCordoned = false
     this._log.emit('move finished', { virtualMachine: move.virtualMachine, to: move.to, how: result })
   }
 }
