Isolate the next run of a task after a possible crash as well

A possible crash now isolates the next run; only proved ones count towards giving a task up. Counting each end that the list shows as a crash passes the test too, but would give up tasks of VMs that have lost power.

69 tests of tests/crashing-tasks, worker-ends and crash-attribution pass.

--- a/src/scheduling/crash-history.ts
+++ b/src/scheduling/crash-history.ts
@@ -28,7 +28,7 @@
 /** Decides from a task's crashes how its next run starts, and whether there is a next run. */
 export class CrashHistory {
   private _crashes: readonly RunCrash[]
-  /** Crashes that count only once another incarnation of the worker proves them. */
+  /** Possible crashes: until another incarnation of the worker proves them, they isolate the next run but don't count towards giving the task up. */
   private _unproven: readonly RunCrash[]
 
   /** @param records what the journal has. */
@@ -52,23 +52,24 @@
     return this._unproven.length > 0
   }
 
+  /** Whether there are none, not even possible ones. */
   get isEmpty (): boolean {
-    return this._crashes.length === 0
+    return this.records.length === 0
   }
 
   /** Time for which a run of the task must have been running before it isn't suspected of a crash, in milliseconds. */
   get trialMilliseconds (): number {
-    return this._crashes.length < CRASHES_BEFORE_LONG_TRIAL ? TRIAL_MILLISECONDS : LONG_TRIAL_MILLISECONDS
+    return this.records.length < CRASHES_BEFORE_LONG_TRIAL ? TRIAL_MILLISECONDS : LONG_TRIAL_MILLISECONDS
   }
 
-  /** Whether the next run should start while no other run on its worker is on trial, so that a crash shows whether it is the cause. */
+  /** Whether the next run should start while no other run on its worker is on trial, so that a crash shows whether it is the cause. Possible crashes suffice. */
   get needsIsolation (): boolean {
-    return this._crashes.length >= CRASHES_BEFORE_LONG_TRIAL || this._crashes.some(({ role }) => role !== 'bystander')
+    return this.records.length >= CRASHES_BEFORE_LONG_TRIAL || this.records.some(({ role }) => role !== 'bystander')
   }
 
   /** Whether the next run has to wait for such a worker for as long as it takes. */
   get requiresIsolation (): boolean {
-    return this._isCulprit || (this._crashes.length >= CRASHES_BEFORE_LONG_TRIAL && this._crashes.some(({ role }) => role !== 'bystander'))
+    return this._isCulprit || (this.records.length >= CRASHES_BEFORE_LONG_TRIAL && this.records.some(({ role }) => role !== 'bystander'))
   }
 
   /** Whether the task was the only suspect of a crash, or has been in more crashes than one that only ran beside the cause is likely to be. */
