Draw series of workers that have ended, come back or are ordered about

The series had silent workers that stay silent, or are back as they were. What the platform's list of VMs tells of them was never wrong or away, since nobody read it for this.

--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -2,8 +2,12 @@
  * Fault settings of the emulated platform.
  */
 import type { Clock } from '../../src/supervision/clock.js'
+import type { EmulatedWorker } from './emulated-worker.js'
 import { VirtualMachineFaults } from './virtual-machine-faults.js'
 
+/** Services whose calls or responses are lost: those of the store, of the workers, or of all of them. */
+type LossScope = 'store' | 'workers' | 'platform'
+
 /** A response of the store. */
 interface StoreResponse {
   readonly status: number
@@ -18,10 +22,10 @@
   readonly disconnectedCallers = new Set<string>()
   /** Killed processes, whose calls reach no service. */
   readonly killedCallers = new Set<string>()
-  /** Callers whose calls don't arrive, at the store or at any service; responses to earlier calls still reach them. */
-  readonly unheardCallers = new Map<string, 'store' | 'platform'>()
-  /** Callers whose calls arrive, but which get no response from the store or from any service. */
-  readonly unansweredCallers = new Map<string, 'store' | 'platform'>()
+  /** Callers whose calls don't arrive; responses to earlier calls still reach them. */
+  readonly unheardCallers = new Map<string, LossScope>()
+  /** Callers whose calls arrive, but which get no response. */
+  readonly unansweredCallers = new Map<string, LossScope>()
   /** Whether the store is away: calls to it get no response. */
   isStoreAway = false
   /** Callers that can reach a worker, by its address; every caller can reach a worker without an entry. */
@@ -60,6 +64,8 @@
   readonly lostStopAddresses = new Set<string>()
   /** Delay of a late start, in milliseconds. */
   lateStartMilliseconds = 3_000
+  /** Whether a late start is executed by the worker that has the same ID and address by then, even if it is another incarnation. */
+  lateStartsReachSuccessors = false
 
   /** Time that a call to the advice service takes, in milliseconds. */
   adviceMilliseconds = 0
@@ -78,18 +84,22 @@
     return true
   }
 
-  /** Returns whether the calls of a caller don't arrive at the store, or at another service. */
-  isUnheard (caller: string, isStoreCall: boolean): boolean {
-    return this.killedCallers.has(caller) || this._applies(this.unheardCallers.get(caller), isStoreCall)
+  /** Returns the worker that executes a late start, if any: the intended incarnation, or the current one at its address. */
+  lateExecutor (intended: EmulatedWorker, current: EmulatedWorker | undefined): EmulatedWorker | null {
+    const executor = this.lateStartsReachSuccessors ? current : intended
+    return executor?.id === intended.id && !executor.isTerminated ? executor : null
   }
 
-  /** Returns whether a caller gets no responses from the store, or from another service. */
-  isUnanswered (caller: string, isStoreCall: boolean): boolean {
-    return this._applies(this.unansweredCallers.get(caller), isStoreCall)
+  /** Returns whether the calls of a caller don't arrive at a service. */
+  isUnheard (caller: string, service: 'store' | 'workers' | 'other'): boolean {
+    const scope = this.unheardCallers.get(caller)
+    return this.killedCallers.has(caller) || scope === 'platform' || scope === service
   }
 
-  private _applies (scope: 'store' | 'platform' | undefined, isStoreCall: boolean): boolean {
-    return scope === 'platform' || (scope === 'store' && isStoreCall)
+  /** Returns whether a caller gets no responses from a service. */
+  isUnanswered (caller: string, service: 'store' | 'workers' | 'other'): boolean {
+    const scope = this.unansweredCallers.get(caller)
+    return scope === 'platform' || scope === service
   }
 
   /** Waits until the link of a caller has carried a response; the link carries one response at a time. */
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -155,10 +155,11 @@
 
   /** Executes a request; returns null if the caller gets no response. */
   async handle (request: EmulatedRequest): Promise<{ status: number, body: Buffer } | null> {
-    const isStoreCall = request.address === STORE_ADDRESS
-    if (this.faults.isUnheard(request.caller, isStoreCall)) return null
+    const { caller, address } = request
+    const service = address === STORE_ADDRESS ? 'store' : address === VIRTUAL_MACHINES_ADDRESS || address === ADVICE_ADDRESS ? 'other' : 'workers'
+    if (this.faults.isUnheard(caller, service)) return null
     const response = await this._execute(request)
-    return this.faults.isUnanswered(request.caller, isStoreCall) ? null : response
+    return this.faults.isUnanswered(caller, service) ? null : response
   }
 
   private async _execute (request: EmulatedRequest): Promise<{ status: number, body: Buffer } | null> {
@@ -190,7 +191,7 @@
     if (headers['expect-instance'] !== worker.id) return this._encode({ status: 421, body: {} })
     const order = JSON.parse(body.toString()) as Record<string, never>
     if (call === 'run-start' && this.faults.consumeLateStart(address)) {
-      this._clock.sleepUntil(this._clock.now() + this.faults.lateStartMilliseconds).then(async () => worker.isTerminated ? null : worker.handle(call, order)).catch(() => {})
+      this._clock.sleepUntil(this._clock.now() + this.faults.lateStartMilliseconds).then(async () => this.faults.lateExecutor(worker, this._workersByAddress.get(address))?.handle(call, order)).catch(() => {})
       return null
     }
     if (call === 'run-start' && this.faults.startLatencyMilliseconds > 0) await this._clock.sleepUntil(this._clock.now() + this.faults.startLatencyMilliseconds)
--- a/tests/support/lease-series/draw-series.ts
+++ b/tests/support/lease-series/draw-series.ts
@@ -50,6 +50,7 @@
     silentWorkers: new BusiestWorkers(draw.within([1, 2])),
     ownerEnd: draw.disturbance(ownerEnds, ownerEndsAt, OWNER_AWAY_MILLISECONDS),
     store: draw.isTrue() ? draw.disturbance(STORE_FAILURES, storeFailsAt, STORE_FAILURE_MILLISECONDS) : null,
+    others: [],
     ownerKills: Array.from({ length: ownerKills }, () => ({ killAfter: draw.within(OWNER_KILLED_MILLISECONDS), restartAfter: draw.isTrue() ? Infinity : draw.within(OWNER_RESTARTED_MILLISECONDS) })),
     fleet: new SmallFleet(Array.from({ length: WORKERS }, () => draw.item(CLOCK_RATES)))
   }
--- a/tests/support/lease-series/draw-wide-series.ts
+++ b/tests/support/lease-series/draw-wide-series.ts
@@ -27,7 +27,8 @@
 const FLEET_SEED = 1_000_000
 
 /** Groups of workers that fall silent together. */
-const EXTENTS = ['a rack', 'a zone', 'half of a pool', 'half of two pools', 'half of the fleet'] as const
+type Extent = 'a rack' | 'a zone' | 'a pool' | 'half of a pool' | 'half of two pools' | 'half of the fleet'
+const EXTENTS: readonly Extent[] = ['a rack', 'a zone', 'half of a pool', 'half of two pools', 'half of the fleet']
 
 function drawMachines (draw: Draw): PlannedMachine[] {
   const count = draw.within(MACHINES)
@@ -41,13 +42,14 @@
   return draw.isTrue() ? listed.sort((left, right) => left.rack < right.rack ? -1 : Number(left.rack > right.rack)) : listed
 }
 
-function drawExtent (draw: Draw, machines: readonly PlannedMachine[], extent: typeof EXTENTS[number]): PlannedMachine[] {
+function drawExtent (draw: Draw, machines: readonly PlannedMachine[], extent: Extent): PlannedMachine[] {
   const { pool, zone, rack } = draw.item(machines)
   const halfOf = (some: readonly PlannedMachine[]): PlannedMachine[] => draw.items(some, Math.floor(some.length / 2))
   const halfOfPool = (name: string): PlannedMachine[] => halfOf(machines.filter(machine => machine.pool === name))
   switch (extent) {
     case 'a rack': return machines.filter(machine => machine.rack === rack)
     case 'a zone': return machines.filter(machine => machine.zone === zone)
+    case 'a pool': return machines.filter(machine => machine.pool === pool)
     case 'half of a pool': return halfOfPool(pool)
     case 'half of two pools': return draw.items([...new Set(machines.map(machine => machine.pool))], 2).flatMap(halfOfPool)
     case 'half of the fleet': return halfOf(machines)
@@ -55,10 +57,10 @@
 }
 
 /** Draws the plan of a seed: a fleet, workers of it that fall silent but for one of each pool at least, and the disturbances of the narrow series of this seed. */
-export function drawWideSeries (seed: number, silences = WORKER_SILENCES, ownerEnds = OWNER_ENDS): SeriesPlan {
+export function drawWideSeries (seed: number, silences = WORKER_SILENCES, ownerEnds = OWNER_ENDS, extents = EXTENTS): SeriesPlan {
   const draw = new Draw(new SeededRandomSource(FLEET_SEED + seed))
   const machines = drawMachines(draw)
-  const extent = draw.item(EXTENTS)
+  const extent = draw.item(extents)
   const chosen = new Set(drawExtent(draw, machines, extent))
   const spared = POOLS.map(name => machines.filter(({ pool }) => pool === name)).flatMap(pool => pool.every(machine => chosen.has(machine)) ? pool.slice(-1) : [])
   const silent = [...chosen].filter(machine => !spared.includes(machine))
--- a/tests/support/lease-series/planned-workers.ts
+++ b/tests/support/lease-series/planned-workers.ts
@@ -6,15 +6,18 @@
 import type { PlannedMachine } from './planned-machine.js'
 import { SilentWorkers } from './silent-workers.js'
 
-/** Chooses the workers of given VMs. */
+/** Chooses the workers of given VMs: those that are there by then. */
 export class PlannedWorkers extends SilentWorkers {
   /** @param _machineCount number of VMs of the fleet. */
   constructor (override readonly name: string, private readonly _machines: readonly PlannedMachine[], private readonly _machineCount: number) {
     super()
   }
 
-  override choose (fleet: DisturbedFleet): EmulatedWorker[] {
-    return this._machines.flatMap(machine => fleet.workers.get(machine) ?? [])
+  override choose ({ workers, fleet: { emulator } }: DisturbedFleet): EmulatedWorker[] {
+    return this._machines.flatMap(machine => {
+      const first = workers.get(machine)
+      return emulator.workerIncarnations.find(({ virtualMachine, isTerminated }) => virtualMachine === first?.virtualMachine && !isTerminated) ?? first ?? []
+    })
   }
 
   override toString (): string {
--- a/tests/support/lease-series/play-series.ts
+++ b/tests/support/lease-series/play-series.ts
@@ -18,14 +18,14 @@
 const END_STEP_MILLISECONDS = 500
 
 /** Plays a series until all tasks run again, or for long enough to tell that they don't. */
-export async function playSeries ({ seed, silence, silentWorkers, ownerEnd, store, ownerKills, fleet: plannedFleet }: SeriesPlan): Promise<SeriesResult> {
+export async function playSeries ({ seed, silence, silentWorkers, ownerEnd, store, others, ownerKills, fleet: plannedFleet }: SeriesPlan): Promise<SeriesResult> {
   const disturbed = await plannedFleet.create(seed, PROCESSES)
   const { fleet, now: startedAt } = disturbed
   const firstBusyWorkers = disturbed.busyWorkers
   disturbed.schedule(startedAt + silence.at, () => {
     silence.kind.begin(disturbed, silentWorkers.choose(disturbed, firstBusyWorkers), startedAt + silence.until)
   })
-  if (store) disturbed.schedule(startedAt + store.at, () => store.kind.begin(disturbed, null, startedAt + store.until))
+  for (const { kind, at, until } of [...store ? [store] : [], ...others]) disturbed.schedule(startedAt + at, () => kind.begin(disturbed, null, startedAt + until))
   disturbed.schedule(startedAt + ownerEnd.at, () => {
     ownerEnd.kind.begin(disturbed, fleet.owner(), startedAt + ownerEnd.until)
     const kills = [...ownerKills]
--- a/tests/support/lease-series/series-plan.ts
+++ b/tests/support/lease-series/series-plan.ts
@@ -21,6 +21,8 @@
   readonly ownerEnd: PlannedDisturbance<string>
   /** Null if the store doesn't fail. */
   readonly store: PlannedDisturbance<null> | null
+  /** What else happens. */
+  readonly others: readonly PlannedDisturbance<null>[]
   /** The next owners, by turns: how long after its term has begun each is killed, and how long after that it is started again, in milliseconds. */
   readonly ownerKills: readonly { readonly killAfter: number, readonly restartAfter: number }[]
   readonly fleet: SeriesFleet
--- a/tests/support/lease-series/wide-fleet.ts
+++ b/tests/support/lease-series/wide-fleet.ts
@@ -19,12 +19,12 @@
     return DisturbedFleet.createFilled(seed, processes, this._machines)
   }
 
-  override hasRoom ({ fleet: { nodes, emulator }, workers }: DisturbedFleet): boolean {
-    const reached = [...workers].filter(([, { address, isTerminated, isDisconnected }]) => {
+  override hasRoom ({ fleet: { nodes, emulator } }: DisturbedFleet): boolean {
+    const reached = emulator.workerIncarnations.filter(({ address, isTerminated, isDisconnected }) => {
       const allowedCallers = emulator.faults.allowedCallers.get(address)
       return !isTerminated && !isDisconnected && (!allowedCallers || [...nodes.keys()].some(name => allowedCallers.has(name)))
     })
-    const servedPools = new Set(reached.map(([{ pool }]) => pool))
+    const servedPools = new Set(reached.map(({ pool }) => pool))
     return this._machines.every(({ pool }) => servedPools.has(pool))
   }
 }
