--- a/tests/lease-series.test.ts
+++ b/tests/lease-series.test.ts
@@ -4,6 +4,7 @@
 import { expect, test } from 'vitest'
 import { describeSeries } from './support/lease-series/describe-series.js'
 import { DisturbedFleet } from './support/lease-series/disturbed-fleet.js'
+import { drawGoneSeries } from './support/lease-series/draw-gone-series.js'
 import { drawSeries } from './support/lease-series/draw-series.js'
 import { drawWideSeries } from './support/lease-series/draw-wide-series.js'
 import { OWNER_ENDS } from './support/lease-series/owner-ends.js'
@@ -23,6 +24,10 @@
 const SEEDS_WITH_SILENT_NAMES = [80, 152, 279, 320, 338]
 const SEEDS_WITH_SILENT_MAJORITY = [97, 164, 224]
 
+/** Seeds of series of workers that have ended: the first ones by turns, and those in which tasks waited too long while no owner read the platform's list for it. */
+const GONE_SEEDS = [1, 2, 4, 5]
+const SEEDS_WITH_LISTED_ENDS = [3, 12, 20, 63]
+
 /** Seeds of series that have two runs at once if a new owner doesn't wait for an owner that is alone with its workers. */
 const SEEDS_WITH_PARTITION = [3, 45, 46, 57, 58, 73, 80]
 
@@ -159,3 +164,12 @@
 test.each(SEEDS_WITH_PARTITION)('lasting tasks don\'t run twice at once, and are not lost, when many workers are alone with an owner (wide series of seed %i)', async seed => {
   await expectNoFindings(seed, seed, () => drawWideSeries(seed, [new PartitionWithOwner()]))
 })
+
+test.each(GONE_SEEDS)('lasting tasks are not lost, and don\'t run twice at once, when workers come back or are ordered about, and lists of VMs lag behind (series of seed %i)', async seed => {
+  await expectNoFindings(seed, seed, seed => drawGoneSeries(seed))
+})
+
+// Guards against a wait for a lease of a worker that the platform lists as ended.
+test.each(SEEDS_WITH_LISTED_ENDS)('lasting tasks are not lost when the list of VMs shows that their workers have ended (series of seed %i)', async seed => {
+  await expectNoFindings(seed, seed, seed => drawGoneSeries(seed))
+})
