Open VMs again whose maintenance the platform refuses for now

What callers saw: a lasting task had no run for as long as the platform answered a wave's orders with 503 (20 s, the length of the test), because the wave had cordoned all workers, which were empty.

Cause: a VM kept its cordon until its order was taken.

Change: orders that are refused without any effect (429, 503, not sent) for 1.2 s open the wave's VMs again; one at a time is evacuated and tried each second, and the others follow once the platform takes an order (OrderRefusals). A VM with an order whose outcome is unknown keeps its cordon.

Of the new tests/refused-maintenance.test.ts, the wave of six VMs at once failed on the old code; the other two waves and the VM with an unknown outcome passed there and guard the change (opened in spite of an unknown outcome, the last one fails).

--- a/src/capacity/wave-task.ts
+++ b/src/capacity/wave-task.ts
@@ -2,10 +2,8 @@
  * Carries out the maintenance waves that operators request.
  */
 import type { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
-import type { JobTable } from '../jobs/job-table.js'
 import type { WaveProgress } from '../jobs/wave-progress.js'
 import type { DecisionLog } from '../observability/decision-log.js'
-import type { DecisionWriterTask } from '../scheduling/decision-writer-task.js'
 import type { FleetWorker } from '../scheduling/fleet-worker.js'
 import type { WorkerTable } from '../scheduling/worker-table.js'
 import type { FleetTimings } from '../scheduling/fleet-timings.js'
@@ -13,8 +11,10 @@
 import { Task } from '../supervision/task.js'
 import type { InventoryTask } from './inventory-task.js'
 import type { FleetVirtualMachineControl } from './fleet-virtual-machine-control.js'
+import type { OrderRefusals } from './order-refusals.js'
 import type { VirtualMachineError } from './virtual-machine-error.js'
 import type { VirtualMachineLocks } from './virtual-machine-locks.js'
+import type { WaveProgressJournal } from './wave-progress-journal.js'
 import type { WaveStatusPublisher } from './wave-status-publisher.js'
 
 type Wave = ConfigurationFollowerTask['waves'][number]
@@ -43,18 +43,18 @@
   hasReturned: boolean
   /** Whether an order awaits its response. */
   isInFlight: boolean
+  /** Whether an order may have been carried out, or may be later, although nothing has confirmed it. */
+  isUncertain: boolean
 }
 
 /** Evacuates VMs, orders their maintenance, and waits for their return, with at most as many at once as the wave allows. */
 export class WaveTask extends Task {
   override readonly name = 'waves'
   private readonly _orders = new Map<string, MaintenanceOrder>()
-  /** Newest progress by wave, including records that are still being written. */
-  private readonly _latestProgress = new Map<number, WaveProgress>()
   private readonly _publishedStates = new Map<number, string>()
 
   constructor (
-    private readonly _configuration: ConfigurationFollowerTask, private readonly _jobTable: JobTable, private readonly _workers: WorkerTable, private readonly _writer: DecisionWriterTask,
+    private readonly _configuration: ConfigurationFollowerTask, private readonly _progress: WaveProgressJournal, private readonly _workers: WorkerTable, private readonly _refusals: OrderRefusals,
     private readonly _inventory: InventoryTask, private readonly _control: FleetVirtualMachineControl, private readonly _statusPublisher: WaveStatusPublisher, private readonly _locks: VirtualMachineLocks,
     private readonly _timings: FleetTimings, private readonly _term: number, private readonly _onFenced: (cause: string) => void, private readonly _isTakeoverDone: () => boolean,
     private readonly _clock: Clock, private readonly _log: DecisionLog
@@ -71,31 +71,44 @@
   }
 
   private async _advance (wave: Wave, now: number, signal: AbortSignal): Promise<void> {
-    const progress = this._jobTable.wave(wave.wave) ?? this._noProgress(wave)
+    const progress = this._progress.read(wave.wave)
     if (progress.isCompleted) return this._publish(wave.wave, 'completed', signal)
     await this._publish(wave.wave, 'running', signal)
     if (this._inventory.listedAt === 0) return
     this._inventory.expectChangesUntil(now + ROUND_INTERVAL_MILLISECONDS)
     for (const id of wave.virtualMachines) this._checkReturn(wave, id, progress)
-    const remaining = wave.virtualMachines.filter(id => !this._hasReturned(wave, id, progress) && !this._inventory.isGone(id))
+    const remaining = this._sortByLoad(wave.virtualMachines.filter(id => !this._hasReturned(wave, id, progress) && !this._inventory.isGone(id)))
     if (remaining.length === 0) {
-      this._recordProgress({ ...progress, isCompleted: true })
+      this._progress.write({ ...progress, isCompleted: true })
       this._log.emit('wave completed', { wave: wave.wave, virtualMachines: wave.virtualMachines.length, deadline: wave.deadline })
       return
     }
     this._cordonNext(wave, remaining, progress, now)
-    for (const id of remaining) this._orderMaintenance(wave, id, progress, now, signal)
+    for (const id of remaining) if (this._isTried(wave, id, progress)) this._orderMaintenance(wave, id, progress, now, signal)
   }
 
-  /** Cordons the workers of as many VMs as the wave allows at once, those with the least load first. */
+  /** Returns whether a VM's maintenance may be prepared and ordered at present. While the platform refuses such orders, most VMs are opened again. */
+  private _isTried (wave: Wave, id: string, progress: WaveProgress): boolean {
+    const order = this._orderOf(wave, id)
+    const holder = this._locks.holder(id)
+    if (holder === 'move' || (holder === null && !progress.ordered.includes(id))) return false
+    if (order.completedAt > 0 || order.isInFlight || order.isUncertain || this._refusals.permits(id)) return true
+    if (holder === null) return false
+    order.sentAt = 0
+    order.cordonedAt = 0
+    this._reopen(id)
+    this._log.emit('maintenance put off', { virtualMachine: id, wave: wave.wave, worker: this._workerOf(id)?.entry.id ?? '', cause: 'the platform refuses orders' })
+    return false
+  }
+
+  /** Cordons the workers of as many VMs as the wave allows at once, the first ones. */
   private _cordonNext (wave: Wave, remaining: readonly string[], progress: WaveProgress, now: number): void {
     const orderedIds = remaining.filter(id => progress.ordered.includes(id))
     const cordonedIds = remaining.filter(id => !progress.ordered.includes(id) && this._locks.holder(id) === 'wave')
     const available = wave.maximumAtOnce - orderedIds.length - cordonedIds.length
     if (available <= 0) return
     const candidates = remaining.filter(id => !progress.ordered.includes(id) && this._locks.holder(id) === null && this._inventory.virtualMachineById(id)?.state === 'up')
-    candidates.sort((left, right) => this._load(left) - this._load(right))
-    for (const id of candidates.slice(0, available)) {
+    for (const id of candidates.filter(candidate => this._refusals.permits(candidate)).slice(0, available)) {
       this._locks.acquire(id, 'wave')
       const worker = this._workerOf(id)
       if (worker) worker.isCordoned = true
@@ -109,7 +122,7 @@
     // An order recorded by an earlier term may never have been sent: the VM is evacuated again before the order is repeated.
     if (order.sentAt === 0 && !this._isEvacuated(wave, id, now)) return
     if (!progress.ordered.includes(id)) {
-      this._recordProgress({ ...progress, ordered: [...progress.ordered, id] })
+      this._progress.write({ ...progress, ordered: [...progress.ordered, id] })
       return
     }
     if (order.isInFlight || now < order.sentAt + RETRY_DELAY_MILLISECONDS) return
@@ -131,7 +144,7 @@
   /** Cordons the VM's worker. Returns whether the worker has no tasks and a list requested since then shows that it is still the VM's worker. */
   private _isEvacuated (wave: Wave, id: string, now: number): boolean {
     const order = this._orderOf(wave, id)
-    const isRecorded = this._jobTable.wave(wave.wave)?.ordered.includes(id) ?? false
+    const isRecorded = this._progress.read(wave.wave).ordered.includes(id)
     if (isRecorded && !this._locks.acquire(id, 'wave')) return false
     if (this._locks.holder(id) !== 'wave') return false
     if (order.cordonedAt === 0) order.cordonedAt = now
@@ -147,6 +160,9 @@
     order.isInFlight = false
     this._log.emit('maintenance ordered', { virtualMachine: id, wave: wave.wave, term: this._term, outcome: error?.kind ?? 'done', detail: error?.message ?? '' })
     if (error?.kind === 'fenced') return this._onFenced(`VM ${id}: ${error.message}`)
+    if (error?.kind === 'overload' || error?.kind === 'unsent') this._refusals.recordRefusal(id)
+    else if (!error || error.kind === 'busy' || error.kind === 'not-in-wave' || error.kind === 'missing') this._refusals.recordDecision()
+    else order.isUncertain = true
     if (!error) this._recordConfirmation(wave, id, order)
     if (error?.kind !== 'not-in-wave' && error?.kind !== 'missing') return
     order.hasReturned = true
@@ -163,9 +179,9 @@
   /** Records when the VM will have returned at the latest, so that no next owner orders its maintenance and counts the time again. */
   private _recordConfirmation (wave: Wave, id: string, order: MaintenanceOrder): void {
     order.completedAt = this._clock.now()
-    const progress = this._jobTable.wave(wave.wave) ?? this._noProgress(wave)
+    const progress = this._progress.read(wave.wave)
     if (progress.confirmed.some(({ virtualMachine }) => virtualMachine === id)) return
-    this._recordProgress({ ...progress, confirmed: [...progress.confirmed, { virtualMachine: id, at: this._locks.fleetTime.fromLocal(order.completedAt) }] })
+    this._progress.write({ ...progress, confirmed: [...progress.confirmed, { virtualMachine: id, at: this._locks.fleetTime.fromLocal(order.completedAt) }] })
   }
 
   /** Checks whether the list shows the return of a VM whose maintenance has been ordered. */
@@ -177,27 +193,13 @@
     if (order.hasReturned || order.completedAt === 0 || listed?.state !== 'up' || this._inventory.listedAt < returnVisibleFrom) return
     order.hasReturned = true
     this._reopen(id)
-    this._recordProgress({ ...progress, begun: [...new Set([...progress.begun, id])] })
+    this._progress.write({ ...progress, begun: [...new Set([...progress.begun, id])] })
   }
 
   private _hasReturned (wave: Wave, id: string, progress: WaveProgress): boolean {
     return progress.begun.includes(id) || this._orderOf(wave, id).hasReturned
   }
 
-  /** Writes the union of the newest progress and `progress` to the journal. An order is recorded there before it is sent. */
-  private _recordProgress (progress: WaveProgress): void {
-    const latest = this._latestProgress.get(progress.wave) ?? progress
-    this._latestProgress.set(progress.wave, {
-      wave: progress.wave,
-      ordered: [...new Set([...latest.ordered, ...progress.ordered])],
-      begun: [...new Set([...latest.begun, ...progress.begun])],
-      confirmed: [...new Map([...latest.confirmed, ...progress.confirmed].map(confirmation => [confirmation.virtualMachine, confirmation])).values()],
-      isCompleted: latest.isCompleted || progress.isCompleted
-    })
-    const merged = this._latestProgress.get(progress.wave) ?? progress
-    this._writer.append({ kind: 'wave', progress: merged })
-  }
-
   private async _publish (wave: number, state: 'running' | 'completed', signal: AbortSignal): Promise<void> {
     if (this._publishedStates.get(wave) === state) return
     const result = await this._statusPublisher.publish(wave, state, this._clock.now() + ORDER_TIMEOUT_MILLISECONDS, signal)
@@ -207,26 +209,26 @@
 
   private _orderOf (wave: Wave, id: string): MaintenanceOrder {
     const key = `${wave.wave} ${id}`
-    const order = this._orders.get(key) ?? { cordonedAt: 0, sentAt: 0, completedAt: this._inheritedCompletion(wave, id), hasReturned: false, isInFlight: false }
+    const order = this._orders.get(key) ?? { cordonedAt: 0, sentAt: 0, completedAt: this._inheritedCompletion(wave, id), hasReturned: false, isInFlight: false, isUncertain: false }
     this._orders.set(key, order)
     return order
   }
 
   /** Returns the latest time on this process's clock at which the platform may have confirmed an order of an earlier owner; 0 if it hasn't. */
   private _inheritedCompletion (wave: Wave, id: string): number {
-    const confirmation = this._jobTable.wave(wave.wave)?.confirmed.find(({ virtualMachine }) => virtualMachine === id)
+    const confirmation = this._progress.read(wave.wave).confirmed.find(({ virtualMachine }) => virtualMachine === id)
     return confirmation ? Math.min(this._clock.now(), this._locks.fleetTime.latestLocal(confirmation.at)) : 0
   }
 
-  private _noProgress ({ wave }: Wave): WaveProgress {
-    return { wave, ordered: [], begun: [], confirmed: [], isCompleted: false }
-  }
-
   private _workerOf (id: string): FleetWorker | null {
     const listed = this._inventory.virtualMachineById(id)
     return listed && listed.worker !== '' ? this._workers.find(listed.worker) : null
   }
 
+  private _sortByLoad (ids: readonly string[]): string[] {
+    return ids.map(id => ({ id, load: this._load(id) })).sort((left, right) => left.load - right.load).map(({ id }) => id)
+  }
+
   /** Returns a sort key: lasting tasks weigh more than any amount of reserved processors. */
   private _load (id: string): number {
     const worker = this._workerOf(id)
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -6,9 +6,11 @@
 import type { FleetVirtualMachineControl } from '../capacity/fleet-virtual-machine-control.js'
 import { VirtualMachineLocks } from '../capacity/virtual-machine-locks.js'
 import { PoolStateCollector } from '../capacity/pool-state-collector.js'
+import { OrderRefusals } from '../capacity/order-refusals.js'
 import { PoolCapacity } from '../capacity/pool-capacity.js'
 import { PoolSizingTask } from '../capacity/pool-sizing-task.js'
 import { EvacuationTask } from '../capacity/evacuation-task.js'
+import { WaveProgressJournal } from '../capacity/wave-progress-journal.js'
 import { WaveTask } from '../capacity/wave-task.js'
 import type { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
 import type { FleetTime } from '../jobs/fleet-time.js'
@@ -161,7 +163,7 @@
         configuration, new PoolStateCollector(configuration, scheduledJobs, workerTable, inventory, new PoolCapacity(workerTable, inventory)), workerTable, new DemandPoolSizingPolicy(),
         inventory, control, this._settings().platform.ordersPerSecond, locks, timings, term, onLost, isViewCurrent, clock, this._metrics, log
       ),
-      new WaveTask(configuration, jobTable, workerTable, writer, inventory, control, statusPublisher, locks, timings, term, onLost, isTakeoverDone, clock, log)
+      new WaveTask(configuration, new WaveProgressJournal(jobTable, writer), workerTable, new OrderRefusals(clock), inventory, control, statusPublisher, locks, timings, term, onLost, isTakeoverDone, clock, log)
     ]
   }
 
--- a/stand-ins/emulator/emulated-virtual-machines.ts
+++ b/stand-ins/emulator/emulated-virtual-machines.ts
@@ -42,6 +42,10 @@
   readonly missingInNextList = new Set<string>()
   /** Whether every order is refused without any effect. */
   refusesOrders = false
+  /** Number of orders, from the next one on, that get no response and are executed late. */
+  lateOrders = 0
+  /** Delay of a late order, in milliseconds. */
+  lateOrderMilliseconds = 3_000
   /** Waves of which no VM is a member, as far as the platform knows. */
   readonly unknownWaves = new Set<number>()
   /** Rows of another form that each list has beside its own. */
@@ -66,6 +70,14 @@
     return { machines: [...virtualMachines, ...this.oddRows], next_page_token: null }
   }
 
+  /** Executes an order and returns the status and body of the response; null if the caller gets none. */
+  handleOrder (...order: Parameters<EmulatedVirtualMachines['order']>): { status: number, body: object } | null {
+    if (this.lateOrders === 0) return this.order(...order)
+    this.lateOrders -= 1
+    this._clock.sleepUntil(this._clock.now() + this.lateOrderMilliseconds).then(() => this.order(...order)).catch(() => {})
+    return null
+  }
+
   /** Executes an order and returns the status and body of the response. */
   order (call: 'machine-move' | 'machine-upkeep', body: { machine: string, pool?: string, wave?: number }, holder: string, token: number): { status: number, body: object } {
     if (this.refusesOrders) return { status: 503, body: {} }
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -170,7 +170,8 @@
     if (address === VIRTUAL_MACHINES_ADDRESS && !(call === 'machines' ? this._listLimiter : this._orderLimiter).tryAcquire()) return this._encode({ status: 429, body: {} })
     if (address === VIRTUAL_MACHINES_ADDRESS && call === 'machines') return this._encode({ status: 200, body: this.virtualMachines.list() })
     if (address === VIRTUAL_MACHINES_ADDRESS && (call === 'machine-move' || call === 'machine-upkeep')) {
-      return this._encode(this.virtualMachines.order(call, JSON.parse(body.toString()) as { machine: string }, headers['lease-holder'] ?? '', Number(headers['fencing-token'])))
+      const response = this.virtualMachines.handleOrder(call, JSON.parse(body.toString()) as { machine: string }, headers['lease-holder'] ?? '', Number(headers['fencing-token']))
+      return response ? this._encode(response) : null
     }
     if (address === ADVICE_ADDRESS) await this._clock.sleepUntil(this._clock.now() + this.faults.adviceMilliseconds)
     if (address === ADVICE_ADDRESS) return this._advise(JSON.parse(body.toString()) as { workers: string[] })
