--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -7,10 +7,12 @@
 import { VirtualMachineCordons } from '../capacity/virtual-machine-cordons.js'
 import { VirtualMachineLocks } from '../capacity/virtual-machine-locks.js'
 import { PoolStateCollector } from '../capacity/pool-state-collector.js'
+import { OrderRefusals } from '../capacity/order-refusals.js'
 import { PoolCapacity } from '../capacity/pool-capacity.js'
 import { PoolSizingTask } from '../capacity/pool-sizing-task.js'
 import { EvacuationTask } from '../capacity/evacuation-task.js'
 import { ListedWorkerEnds } from '../capacity/listed-worker-ends.js'
+import { WaveProgressJournal } from '../capacity/wave-progress-journal.js'
 import { WaveTask } from '../capacity/wave-task.js'
 import { WorkerListings } from '../capacity/worker-listings.js'
 import type { ConfigurationFollowerTask } from '../configuration/configuration-follower-task.js'
@@ -168,7 +170,7 @@
         configuration, new PoolStateCollector(configuration, scheduledJobs, workerTable, inventory, new PoolCapacity(workerTable, inventory)), workerTable, new DemandPoolSizingPolicy(),
         inventory, control, this._settings().platform.ordersPerSecond, locks, timings, term, onLost, isViewCurrent, clock, this._metrics, log
       ),
-      new WaveTask(configuration, jobTable, workerTable, writer, inventory, control, statusPublisher, locks, timings, term, onLost, isTakeoverDone, clock, log)
+      new WaveTask(configuration, new WaveProgressJournal(jobTable, writer), workerTable, new OrderRefusals(clock), inventory, control, statusPublisher, locks, timings, term, onLost, isTakeoverDone, clock, log)
     ]
   }
 
