--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -56,6 +56,7 @@
 import { WorkerRegistryFollowerTask } from '../scheduling/worker-registry-follower-task.js'
 import { InheritedLeases } from '../scheduling/inherited-leases.js'
 import { LeaseBounds } from '../scheduling/lease-bounds.js'
+import { LostWorkerDetector } from '../scheduling/lost-worker-detector.js'
 import { LeaseRenewalPermit } from '../scheduling/lease-renewal-permit.js'
 import { LeaseRenewalTask } from '../scheduling/lease-renewal-task.js'
 import { RecentStartAttributionPolicy } from '../scheduling/recent-start-attribution-policy.js'
@@ -132,8 +133,9 @@
     )
     const listings = new WorkerListings(workerTable, log)
     const inventory = this._virtualMachineControl && new InventoryTask(this._virtualMachineControl, listings, clock, log)
+    const lostWorkers = new LostWorkerDetector(workerTable, inventory ? new ListedWorkerEnds(listings, inventory) : new UnknownWorkerEnds(), leaseBounds, losses)
     const placement = new PlacementTask(
-      schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, losses, inventory ? new ListedWorkerEnds(listings, inventory) : new UnknownWorkerEnds(), leaseBounds, pendingStarts, pace,
+      schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, lostWorkers, pendingStarts, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
     const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, losses, placement, clock, log)
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -1,23 +1,19 @@
 /**
  * The owner's view of a worker.
  */
-import type { Resources } from '../jobs/resources.js'
 import { WORKER_CLOCK_RATE } from '../jobs/worker-clock-rate.js'
-import { addResources } from './add-resources.js'
-import { fitsWithin } from './fits-within.js'
 import type { ScheduledTask } from './scheduled-task.js'
 import type { WorkerClient } from './worker-client.js'
 import { WorkerClockEstimate } from './worker-clock-estimate.js'
 import type { WorkerEntry } from './worker-entry.js'
+import { WorkerReservations } from './worker-reservations.js'
 
 /** Allows for the time that a worker takes to kill its runs after its lease has expired. */
 const LEASE_EXPIRY_MARGIN_MILLISECONDS = 150
 
-const NO_RESOURCES: Resources = { millicores: 0, memoryMegabytes: 0, accelerators: 0 }
-
 /** Reservations, clock and lease of a worker in its current incarnation. */
-export class FleetWorker {
-  entry: WorkerEntry
+export class FleetWorker extends WorkerReservations {
+  override entry: WorkerEntry
   /** Whether the registry has shown the entry of the present incarnation. */
   isEntryCurrent = true
   /** Whether the registry currently lists the worker. */
@@ -53,10 +49,6 @@
   readonly unsettledRuns = new Map<string, number>()
   /** Highest fencing token that the present incarnation is known to have seen: it carries out no order with a lower one. */
   private _confirmedToken = 0
-  /** Tasks with a reservation on the worker. */
-  readonly tasks = new Set<ScheduledTask>()
-  /** Those of them beside which nothing else may start while they are on trial. */
-  private readonly _isolatedTasks = new Set<ScheduledTask>()
   /** Epoch milliseconds of the last report; 0 before the first under this term. */
   lastReportAt = 0
   /** Epoch milliseconds by which the next report must have arrived; 0 after a failed call. Past it, the worker gets nothing new. */
@@ -86,7 +78,6 @@
   private _reportRequestedAt = 0
   /** Latest lease deadline that may have reached the worker, on the worker's clock. */
   private _leaseDeadline = 0
-  private _reserved: Resources = NO_RESOURCES
   /** Client for calls to the worker; null for a placeholder and after its lease renewal has ended. */
   client: WorkerClient | null = null
 
@@ -95,6 +86,7 @@
 
   /** @param _unknownLeasesExpireAt epoch milliseconds by which leases requested by other owners have expired. */
   constructor (entry: WorkerEntry, private _unknownLeasesExpireAt: number) {
+    super()
     this.entry = entry
   }
 
@@ -108,16 +100,6 @@
     return this.entry.isDraining || this.isCordoned
   }
 
-  /** Resources without a reservation. */
-  get available (): Resources {
-    return addResources(this.entry.capacity, this._reserved, -1)
-  }
-
-  /** Sum of all reservations. */
-  get reserved (): Resources {
-    return this._reserved
-  }
-
   /** Latest lease deadline sent to the worker, on the worker's clock. */
   get leaseDeadline (): number {
     return this._leaseDeadline
@@ -151,37 +133,6 @@
     return this.client !== null && this.client.fence.token > this._confirmedToken
   }
 
-  /** Whether the reservations exceed the capacity, which may have shrunk. */
-  get isOvercommitted (): boolean {
-    return !fitsWithin(this._reserved, this.entry.capacity)
-  }
-
-  /** Returns whether the available resources cover a demand. */
-  hasCapacityFor (demand: Resources): boolean {
-    return fitsWithin(demand, this.available)
-  }
-
-  /** Whether an isolated run on trial keeps a task from starting on the worker; those that are isolated together with it do not. */
-  blocksStartOf (task: ScheduledTask): boolean {
-    for (const isolated of this._isolatedTasks) if (isolated.isOnTrial && isolated.isolationGroup !== task.isolationGroup) return true
-    return false
-  }
-
-  /** Reserves resources for a task; does nothing if the task already has a reservation. */
-  reserve (task: ScheduledTask): void {
-    if (this.tasks.has(task)) return
-    this.tasks.add(task)
-    if (task.isIsolated) this._isolatedTasks.add(task)
-    this._reserved = addResources(this._reserved, task.reservation)
-  }
-
-  /** Releases a task's reservation, if it has one. */
-  release (task: ScheduledTask): void {
-    if (!this.tasks.delete(task)) return
-    this._isolatedTasks.delete(task)
-    this._reserved = addResources(this._reserved, task.reservation, -1)
-  }
-
   /**
    * Records the time of a report, on the worker's clock and on the owner's.
    *
--- /dev/null
+++ b/src/scheduling/lost-worker-detector.ts
@@ -0,0 +1,53 @@
+/**
+ * Detection of workers that are lost with their runs.
+ */
+import type { FleetWorker } from './fleet-worker.js'
+import type { LeaseBounds } from './lease-bounds.js'
+import type { WorkerEnds } from './worker-ends.js'
+import type { WorkerLossHandler } from './worker-loss-handler.js'
+import type { WorkerTable } from './worker-table.js'
+
+/**
+ * Finds silent workers that have ended according to the platform, or whose lease has expired. Both count only when two checks in a row find them: a report may have
+ * arrived that this process, held up until now, reads before the second one.
+ */
+export class LostWorkerDetector {
+  /** Workers whose end the platform had shown, or whose lease had expired, in the last check. */
+  private _endedWorkers: ReadonlySet<FleetWorker> = new Set()
+  private _expiredWorkers: ReadonlySet<FleetWorker> = new Set()
+
+  constructor (private readonly _workers: WorkerTable, private readonly _ends: WorkerEnds, private readonly _leaseBounds: LeaseBounds, private readonly _losses: WorkerLossHandler) {}
+
+  /**
+   * Treats the runs of lost workers as lost. Returns whether the next check should follow soon.
+   *
+   * @param now epoch milliseconds.
+   * @param nextCheckAt epoch milliseconds by which the next check takes place.
+   */
+  check (now: number, nextCheckAt: number): boolean {
+    return [this._checkEnds(nextCheckAt), this._checkLeases(now)].includes(true)
+  }
+
+  private _checkEnds (nextCheckAt: number): boolean {
+    const silent = [...this._workers.all].filter(worker => worker.isSilent && worker.tasksOfIncarnation.length > 0)
+    if (silent.length > 0) this._ends.expectUntil(nextCheckAt)
+    const ended = silent.filter(worker => this._ends.endOf(worker) !== null)
+    for (const worker of ended) {
+      const end = this._endedWorkers.has(worker) ? this._ends.endOf(worker) : null
+      if (end !== null) this._losses.endShown(worker, end)
+    }
+    const isAnyNew = ended.some(worker => !this._endedWorkers.has(worker))
+    this._endedWorkers = new Set(ended)
+    return isAnyNew
+  }
+
+  private _checkLeases (now: number): boolean {
+    this._workers.refreshInheritedLeases()
+    const isAnyOverdue = this._leaseBounds.refresh(this._workers.all, now)
+    const expired = [...this._workers.all].filter(worker => worker.tasks.size > 0 && worker.leaseExpiresAt < now && worker.hasBeenTried)
+    for (const worker of expired) if (this._expiredWorkers.has(worker)) this._losses.leaseExpired(worker)
+    const isAnyNew = isAnyOverdue || expired.some(worker => !this._expiredWorkers.has(worker))
+    this._expiredWorkers = new Set(expired)
+    return isAnyNew
+  }
+}
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -12,7 +12,7 @@
 import { fitsWithin } from './fits-within.js'
 import type { FleetSchedule } from './fleet-schedule.js'
 import type { FleetWorker } from './fleet-worker.js'
-import type { LeaseBounds } from './lease-bounds.js'
+import type { LostWorkerDetector } from './lost-worker-detector.js'
 import type { ScheduledJobTable } from './scheduled-job-table.js'
 import type { ScheduledStep } from './scheduled-step.js'
 import type { ScheduledTask } from './scheduled-task.js'
@@ -21,8 +21,6 @@
 import type { PlacementPolicy } from './placement-policy.js'
 import type { ResourceReservations } from './resource-reservations.js'
 import { RunIsolation } from './run-isolation.js'
-import type { WorkerEnds } from './worker-ends.js'
-import type { WorkerLossHandler } from './worker-loss-handler.js'
 import type { WorkingSet } from './working-set.js'
 import type { WorkerTable } from './worker-table.js'
 
@@ -47,13 +45,9 @@
 /** Runs placement rounds, one at a time, whenever the schedule has changed. */
 export class PlacementTask extends Task {
   override readonly name = 'placement'
-  /** Workers whose lease had expired, or whose end the platform had shown, in the last round. */
-  private _expiredWorkers: ReadonlySet<FleetWorker> = new Set()
-  private _endedWorkers: ReadonlySet<FleetWorker> = new Set()
-
   /** @param _viewFreshAt returns the epoch milliseconds as of which the journal and the configuration are known. */
   constructor (
-    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workingSet: WorkingSet, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _losses: WorkerLossHandler, private readonly _ends: WorkerEnds, private readonly _leaseBounds: LeaseBounds, private readonly _pendingStarts: PendingStarts, private readonly _pace: OwnerPace,
+    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workingSet: WorkingSet, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _lostWorkers: LostWorkerDetector, private readonly _pendingStarts: PendingStarts, private readonly _pace: OwnerPace,
     private readonly _viewFreshAt: () => number, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -62,7 +56,7 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const now = this._clock.now()
-      const isSecondLookNeeded = [this._checkEnds(now), this._checkLeases(now)].includes(true)
+      const isSecondLookNeeded = this._lostWorkers.check(now, now + MAXIMUM_ROUND_INTERVAL_MILLISECONDS)
       const changesBefore = this._schedule.changeCount
       if (this._viewFreshAt() > now - MAXIMUM_VIEW_AGE_MILLISECONDS) this._runRound(now)
       await this._clock.sleepUntil(now + this._pace.roundIntervalMilliseconds, signal).catch(() => {})
@@ -70,32 +64,6 @@
     }
   }
 
-  /** Treats runs as lost on silent workers of which the platform shows that they have ended. Returns whether the next round should look soon at what is due in this one. */
-  private _checkEnds (now: number): boolean {
-    const silent = [...this._workers.all].filter(worker => worker.isSilent && worker.tasksOfIncarnation.length > 0)
-    if (silent.length > 0) this._ends.expectUntil(now + MAXIMUM_ROUND_INTERVAL_MILLISECONDS)
-    const ended = silent.filter(worker => this._ends.endOf(worker) !== null)
-    for (const worker of ended) {
-      const end = this._endedWorkers.has(worker) ? this._ends.endOf(worker) : null
-      if (end !== null) this._losses.endShown(worker, end)
-    }
-    const isAnyNew = ended.some(worker => !this._endedWorkers.has(worker))
-    this._endedWorkers = new Set(ended)
-    return isAnyNew
-  }
-
-  /** Treats runs as lost on workers whose lease has expired without renewal. Returns whether the next round should look soon at what is due in this one. */
-  private _checkLeases (now: number): boolean {
-    this._workers.refreshInheritedLeases()
-    const isAnyOverdue = this._leaseBounds.refresh(this._workers.all, now)
-    const expired = [...this._workers.all].filter(worker => worker.tasks.size > 0 && worker.leaseExpiresAt < now && worker.hasBeenTried)
-    // A report may have arrived that this process, held up until now, reads before the next round.
-    for (const worker of expired) if (this._expiredWorkers.has(worker)) this._losses.leaseExpired(worker)
-    const isAnyNew = isAnyOverdue || expired.some(worker => !this._expiredWorkers.has(worker))
-    this._expiredWorkers = new Set(expired)
-    return isAnyNew
-  }
-
   private _runRound (now: number): void {
     this._workingSet.update(now)
     this._pendingStarts.update()
--- /dev/null
+++ b/src/scheduling/worker-reservations.ts
@@ -0,0 +1,62 @@
+/**
+ * The reservations of a worker's capacity.
+ */
+import type { Resources } from '../jobs/resources.js'
+import { addResources } from './add-resources.js'
+import { fitsWithin } from './fits-within.js'
+import type { ScheduledTask } from './scheduled-task.js'
+import type { WorkerEntry } from './worker-entry.js'
+
+const NO_RESOURCES: Resources = { millicores: 0, memoryMegabytes: 0, accelerators: 0 }
+
+/** Counts what the tasks on a worker reserve. */
+export abstract class WorkerReservations {
+  /** Registry entry, which has the capacity. */
+  abstract entry: WorkerEntry
+  /** Tasks with a reservation on the worker. */
+  readonly tasks = new Set<ScheduledTask>()
+  /** Those of them beside which nothing else may start while they are on trial. */
+  private readonly _isolatedTasks = new Set<ScheduledTask>()
+  private _reserved: Resources = NO_RESOURCES
+
+  /** Resources without a reservation. */
+  get available (): Resources {
+    return addResources(this.entry.capacity, this._reserved, -1)
+  }
+
+  /** Sum of all reservations. */
+  get reserved (): Resources {
+    return this._reserved
+  }
+
+  /** Whether the reservations exceed the capacity, which may have shrunk. */
+  get isOvercommitted (): boolean {
+    return !fitsWithin(this._reserved, this.entry.capacity)
+  }
+
+  /** Returns whether the available resources cover a demand. */
+  hasCapacityFor (demand: Resources): boolean {
+    return fitsWithin(demand, this.available)
+  }
+
+  /** Whether an isolated run on trial keeps a task from starting on the worker; those that are isolated together with it do not. */
+  blocksStartOf (task: ScheduledTask): boolean {
+    for (const isolated of this._isolatedTasks) if (isolated.isOnTrial && isolated.isolationGroup !== task.isolationGroup) return true
+    return false
+  }
+
+  /** Reserves resources for a task; does nothing if the task already has a reservation. */
+  reserve (task: ScheduledTask): void {
+    if (this.tasks.has(task)) return
+    this.tasks.add(task)
+    if (task.isIsolated) this._isolatedTasks.add(task)
+    this._reserved = addResources(this._reserved, task.reservation)
+  }
+
+  /** Releases a task's reservation, if it has one. */
+  release (task: ScheduledTask): void {
+    if (!this.tasks.delete(task)) return
+    this._isolatedTasks.delete(task)
+    this._reserved = addResources(this._reserved, task.reservation, -1)
+  }
+}
