Isolate a suspected task before the crash of its worker is proved

Since runs are given up once the platform shows the end of their worker, a task that crashes its workers started anew about two seconds sooner than the worker's return proves the crash. Until then it counted as a task without crashes: it ran beside others and took them along on the next worker, so that tasks beside it had four crashes and their jobs failed. A possible crash under a suspect now leads to isolation as a proved one does; whether the task is given up still depends on proved crashes alone.

--- a/src/scheduling/crash-history.ts
+++ b/src/scheduling/crash-history.ts
@@ -61,9 +61,12 @@
     return this._crashes.length < CRASHES_BEFORE_LONG_TRIAL ? TRIAL_MILLISECONDS : LONG_TRIAL_MILLISECONDS
   }
 
-  /** Whether the next run should start while no other run on its worker is on trial, so that a crash shows whether it is the cause. */
+  /**
+   * Whether the next run should start while no other run on its worker is on trial, so that a crash shows whether it is the cause. The proof of a crash may come only
+   * when the worker is back: the task must not take others along until then.
+   */
   get needsIsolation (): boolean {
-    return this._crashes.length >= CRASHES_BEFORE_LONG_TRIAL || this._crashes.some(({ role }) => role !== 'bystander')
+    return this._crashes.length >= CRASHES_BEFORE_LONG_TRIAL || this._crashes.some(({ role }) => role !== 'bystander') || this._isSuspectedWithoutProof
   }
 
   /** Whether the next run has to wait for such a worker for as long as it takes. */
@@ -127,6 +130,10 @@
     this._unproven = []
   }
 
+  private get _isSuspectedWithoutProof (): boolean {
+    return this._unproven.some(({ role }) => role === 'culprit' || role === 'suspect')
+  }
+
   private get _isCulprit (): boolean {
     return this._crashes.some(({ role }) => role === 'culprit')
   }
