Begin the isolation of a task whose possible crash isn't proved yet

A possible crash counts for whether the next run is isolated, but nothing began that isolation: the step had no mark that its tasks have crashes, and the time for which a task waits for a worker without other runs on trial was over. So a culprit was started anew beside other tasks, and others beside it, until its first worker was back, and took them along on the next one. Runs that may not have begun ('unconfirmed': all that a new owner inherits) don't wait for that.

The new test failed before: all twelve tasks that were submitted 10 ms after the second start began on the same worker.

--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -24,9 +24,6 @@
 
 type RunCompletion = WorkerReport['ended'][number]
 
-/** Time for which a task that is suspected after one crash waits for a worker without other runs on trial. */
-const ISOLATION_TIMEOUT_MILLISECONDS = 1_500
-
 /** Time after its placement up to which a run starts whose age later owners take from there, in milliseconds. */
 const MAXIMUM_START_DELAY_MILLISECONDS = 3_000
 
@@ -116,8 +113,7 @@
   /** Records a crash of the worker under a run of a task. */
   recordCrash (task: ScheduledTask, crash: RunCrash): void {
     if (task.phase === 'done' || task.step.job.isFinished || !task.crashes.record(crash)) return
-    task.step.hasCrashes = true
-    task.isolationDeadline = this._clock.now() + ISOLATION_TIMEOUT_MILLISECONDS
+    task.awaitIsolation(this._clock.now())
     this._metrics.count('runs.crashed', 1, crash.role)
     this._log.emit('worker crashed under run', { task: task.name, run: crash.run, role: crash.role, crashes: task.crashes.count, isGivenUp: task.crashes.isExhausted })
     this._writer.writeStep(task.step)
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -16,6 +16,9 @@
  */
 type RunState = 'inherited' | 'intended' | 'starting' | 'running' | 'settling' | 'stopping'
 
+/** Time for which a task that is suspected after one crash waits for a worker without other runs on trial, in milliseconds. */
+const ISOLATION_TIMEOUT_MILLISECONDS = 1_500
+
 /** Time after which the crashes of a task that lasts are forgotten, in milliseconds. */
 const STABLE_MILLISECONDS = 10_000
 
@@ -113,6 +116,12 @@
     return this.step.definition.isLasting && this.worker !== null && this.startOrderedAt !== 0 && this.startOrderedAt - this._earlierMilliseconds + STABLE_MILLISECONDS <= this.worker.lastReportAt
   }
 
+  /** Lets the task wait for a worker without other runs on trial, if its crashes require that, whether they are proved or not. */
+  awaitIsolation (now: number): void {
+    this.step.hasCrashes = true
+    this.isolationDeadline = now + ISOLATION_TIMEOUT_MILLISECONDS
+  }
+
   /** Begins a run on a worker; nothing of it has been sent yet. */
   beginRun (worker: FleetWorker, run: number, now: number): void {
     this.phase = 'placed'
--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -92,6 +92,7 @@
 
   private _recordUnproven ({ entry: { id, address, incarnation } }: FleetWorker, { task, run, role }: AttributedCrash): void {
     task.crashes.recordUnproven({ run, role, unprovenEnd: { worker: id, address, incarnation, forgetAt: Math.round(this._fleetTime.now()) + UNPROVEN_RETENTION_MILLISECONDS } })
+    if (role !== 'unconfirmed') task.awaitIsolation(this._clock.now())
     this._jobs.updateUnprovenCrashes(task)
   }
 
--- a/tests/crashing-tasks.test.ts
+++ b/tests/crashing-tasks.test.ts
@@ -76,6 +76,20 @@
   expect(await fleet.state('one', 'dead')).toEqual({ kind: 'state', state: 'failed' })
 })
 
+// Guards against a culprit that takes others along on its next worker, because the crash of the first one isn't proved before that worker is back.
+test('nothing starts beside a task whose worker has crashed and is not back yet', async () => {
+  const fleet = await EmulatedFleet.create(3, ['one'], 1, false)
+  fleet.emulator.faults.crashDowntimeMilliseconds = 20_000
+  fleet.outcomesByTask.set('dead.0.0.0', { milliseconds: 250, result: 'crash' })
+  await fleet.submit('one', 'dead', [{}])
+  while (fleet.starts('dead.0.0.0').length < 2) await fleet.clock.advance(10)
+  await fleet.submit('one', 'good', [{ count: 12 }])
+  await fleet.clock.advance(150)
+  const [, next] = fleet.starts('dead.0.0.0')
+  const beside = fleet.emulator.workerIncarnations.flatMap(({ id, starts }) => id === next?.worker ? starts.filter(({ task }) => task.startsWith('good')) : [])
+  expect(beside).toEqual([])
+})
+
 test('tasks beside one that crashes its workers complete, and are not lost again and again', async () => {
   const fleet = await EmulatedFleet.create(4, ['one', 'two'])
   for (let round = 0; round < 6; round++) {
