Keep an inherited run whose start isn't known to be accepted until its lease has expired

Two runs of a task at once, shown by the review: the owner sent a start that got no response and was lost, the worker lost power, the next owner gave the run up by the lists of VMs, and the worker, back under its ID, carried out the late start beside the next run. Before the lists were read, the lease covered this.

The row of a lasting task now says whether its start was accepted, or the run reported, which is written once a run. Only such inherited runs end by the lists.

--- a/src/jobs/task-progress.ts
+++ b/src/jobs/task-progress.ts
@@ -20,6 +20,8 @@
   incarnation: z.number(),
   /** Reading of that worker's clock when the run was decided on, in milliseconds; only of a placed task that lasts, and missing in records of older versions. */
   placedAtClock: z.number().optional(),
+  /** Whether the worker has accepted the start of that run or has reported it, so that no start is on its way; only of a placed task that lasts. */
+  isStarted: z.boolean().optional(),
   /** Newest checkpoint; empty for none. */
   checkpoint: z.string(),
   /** Runs under which their worker crashed, or may have. */
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -24,12 +24,12 @@
 const CrashRow = z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1), UnprovenEnd.optional()])
 
 /**
- * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, a 1 if the task waits and every start so far was refused, and the worker's clock at the placement. A compact tuple, because
+ * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, a 1 if the task waits and every start so far was refused or a 2 if the start of its run has been accepted, and the worker's clock at the placement. A compact tuple, because
  * every change rewrites all rows of a step.
  */
 const TaskRow = z.tuple([
   z.number().int().min(0).max(PHASES.length - 1), z.number(), z.array(z.number()), z.string(), z.number(), z.string(),
-  z.array(CrashRow).optional(), z.literal([0, 1]).optional(), z.number().optional()
+  z.array(CrashRow).optional(), z.literal([0, 1, 2]).optional(), z.number().optional()
 ])
 const TaskRows = listOf(TaskRow)
 const TermValue = z.object({
@@ -118,25 +118,26 @@
     return [this._jsonRecord(`over/${job}`, { queue, state }), ...keys.map(key => ({ key, value: TOMBSTONE }))]
   }
 
-  private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, placedAtClock, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
+  private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, placedAtClock, isStarted = false, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
     const row: z.infer<typeof TaskRow> = [PHASES.indexOf(phase), run, failedRuns, worker, incarnation, checkpoint]
     const isRefused = run > 0 && !hasBegun
     const isTimed = placedAtClock !== undefined
-    if (crashes.length > 0 || isRefused || isTimed) row[6] = crashes.map(crash => this._encodeCrash(crash))
-    if (isRefused || isTimed) row[7] = isRefused ? 1 : 0
+    if (crashes.length > 0 || isRefused || isStarted || isTimed) row[6] = crashes.map(crash => this._encodeCrash(crash))
+    if (isRefused || isStarted || isTimed) row[7] = isRefused ? 1 : isStarted ? 2 : 0
     if (isTimed) row[8] = placedAtClock
     return row
   }
 
-  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint, crashes = [], isRefused = 0, placedAtClock]: z.infer<typeof TaskRow>): TaskProgress {
+  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint, crashes = [], starts = 0, placedAtClock]: z.infer<typeof TaskRow>): TaskProgress {
     return {
       phase: PHASES[phase] ?? 'waiting',
       run,
-      hasBegun: run > 0 && isRefused === 0,
+      hasBegun: run > 0 && starts !== 1,
       failedRuns,
       worker,
       incarnation,
       ...placedAtClock === undefined ? {} : { placedAtClock },
+      ...starts === 2 ? { isStarted: true } : {},
       checkpoint,
       crashes: crashes.map(crash => this._decodeCrash(crash))
     }
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -120,6 +120,13 @@
     this._giveUpIfExhausted(task)
   }
 
+  /** Writes that the current run of a task that lasts has started: the next owner then knows that no start of it is on its way. */
+  recordStart (task: ScheduledTask): void {
+    if (!task.step.definition.isLasting || task.isStarted) return
+    task.isStarted = true
+    this._writer.writeStep(task.step)
+  }
+
   /** Writes the progress of a task whose crashes have changed. */
   writeProgress (task: ScheduledTask): void {
     this._writer.writeStep(task.step)
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -116,11 +116,11 @@
   }
 
   /**
-   * Tasks whose runs end with the incarnation. A start that got no response may be carried out late, by the next incarnation under the ID: the others keep their
-   * reservation until that incarnation reports, or the lease has expired.
+   * Tasks whose runs have started, and so end with the incarnation. A start that is still on its way may be carried out by the next incarnation under the ID: such tasks
+   * keep their reservation until that incarnation reports, or the lease has expired.
    */
-  get tasksOfIncarnation (): ScheduledTask[] {
-    return [...this.tasks].filter(({ runState }) => runState !== 'starting' && runState !== 'settling')
+  get startedTasks (): ScheduledTask[] {
+    return [...this.tasks].filter(({ isConfirmed, isStarted, runState }) => isConfirmed || (runState === 'inherited' && isStarted))
   }
 
   /** Whether its lease serves no run but such of which the start is unsettled: once it has expired, none of them runs or begins. */
--- a/src/scheduling/lost-worker-detector.ts
+++ b/src/scheduling/lost-worker-detector.ts
@@ -29,7 +29,7 @@
   }
 
   private _checkEnds (nextCheckAt: number): boolean {
-    const silent = [...this._workers.all].filter(worker => worker.isSilent && worker.tasksOfIncarnation.length > 0)
+    const silent = [...this._workers.all].filter(worker => worker.isSilent && worker.startedTasks.length > 0)
     if (silent.length > 0) this._ends.expectUntil(nextCheckAt)
     const ended = silent.filter(worker => this._ends.endOf(worker) !== null)
     for (const worker of ended) {
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -51,6 +51,8 @@
   startToken = Infinity
   /** Reading of the worker's clock when the current run was decided on, in milliseconds; 0 if unknown, and for tasks that don't last. */
   placedAtClock: number
+  /** Whether the start of the current run has been accepted or the run has been reported, as far as the journal has it or is about to; only for tasks that last. */
+  isStarted: boolean
   /** Time for which the current run had been active when this owner first saw it, in milliseconds. */
   private _earlierMilliseconds = 0
   /** Progress or readiness that the worker last reported. */
@@ -71,6 +73,7 @@
     this.workerId = progress?.worker ?? ''
     this.incarnation = progress?.incarnation ?? 0
     this.placedAtClock = progress?.placedAtClock ?? 0
+    this.isStarted = progress?.isStarted ?? false
     this.crashes = new CrashHistory(progress?.crashes)
   }
 
@@ -129,6 +132,7 @@
     this.workerId = worker.entry.id
     this.incarnation = worker.entry.incarnation
     this.placedAtClock = this.step.definition.isLasting ? worker.clockEstimate.readLatest(now) : 0
+    this.isStarted = false
     this.runState = 'intended'
     this.confirmedAt = Infinity
     this.startOrderedAt = 0
@@ -172,6 +176,7 @@
       worker: isPlaced ? this.workerId : '',
       incarnation: isPlaced ? this.incarnation : 0,
       ...isPlaced && this.placedAtClock > 0 ? { placedAtClock: this.placedAtClock } : {},
+      ...isPlaced && this.isStarted ? { isStarted: true } : {},
       checkpoint: this.phase === 'done' ? '' : this.checkpoint,
       crashes: this.phase === 'done' ? [] : [...this.crashes.records]
     }
--- a/src/scheduling/start-outcome-handler.ts
+++ b/src/scheduling/start-outcome-handler.ts
@@ -30,6 +30,7 @@
     task.hasBegun = true
     if (task.runState === 'starting') task.runState = 'running'
     task.confirmedAt = this._clock.now()
+    this._schedule.recordStart(task)
   }
 
   /** Requeues a task whose start order was refused or never sent: the run does not exist. */
--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -59,7 +59,7 @@
   endShown (worker: FleetWorker, end: 'by-order' | 'unexplained'): void {
     const crashes = end === 'unexplained' && this._isUnplanned(worker) ? this._attribution.attribute(worker) : []
     this._logLoss('worker end shown', worker, end, crashes)
-    this._release(worker, worker.tasksOfIncarnation, 'the platform shows that its worker has ended', crashes)
+    this._release(worker, worker.startedTasks, 'the platform shows that its worker has ended', crashes)
   }
 
   /** Records the crashes of a worker whose lease had expired before another incarnation took its place. */
@@ -92,7 +92,6 @@
 
   private _recordUnproven ({ entry: { id, address, incarnation } }: FleetWorker, { task, run, role }: AttributedCrash): void {
     task.crashes.recordUnproven({ run, role, unprovenEnd: { worker: id, address, incarnation, forgetAt: Math.round(this._fleetTime.now()) + UNPROVEN_RETENTION_MILLISECONDS } })
-    task.step.hasCrashes = true
     if (role !== 'unconfirmed') task.awaitIsolation(this._clock.now())
     this._jobs.updateUnprovenCrashes(task)
   }
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -104,6 +104,7 @@
 
   private _confirmRun (task: ScheduledTask, activeRun: ActiveRun, workerClock: number): void {
     task.recordReported(this._clock.now(), workerClock)
+    this._schedule.recordStart(task)
     if (task.isStable && !task.crashes.isEmpty) {
       task.crashes.clear()
       this._schedule.writeProgress(task)
@@ -159,6 +160,7 @@
       if (task.runState === 'intended') continue
       task.incarnation = incarnation
       task.placedAtClock = 0
+      task.isStarted = false
     }
     this._schedule.markChanged()
   }
