Count the loss of a silent worker as a crash only if it is back before its lease would have expired

A job was shown as failed that had crashed nothing, after its workers had lost power five times in a row, each back under its ID after 8 s: an end that the lists show was kept as a possible crash for a minute, and the worker's return proved it. Now the possible crash of a worker that was only silent is forgotten when its lease would have expired.

--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -17,7 +17,7 @@
 /** Age of the registry's view above which a planned end may be missing in it, in milliseconds: for so long a worker announces its shutdown. */
 const MAXIMUM_VIEW_AGE_MILLISECONDS = 2_000
 
-/** Time for which a possible crash is kept, to find out whether the worker had crashed, in milliseconds. */
+/** Time for which a possible crash is kept if the worker refused connections, to find out whether it had crashed, in milliseconds. */
 const UNPROVEN_RETENTION_MILLISECONDS = 60_000
 
 /** Requeues the runs of a worker whose incarnation has ended or whose lease has expired, and records whether it crashed under them. */
@@ -90,8 +90,10 @@
     if (worker.hasSuccessor) for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
   }
 
-  private _recordUnproven ({ entry: { id, address, incarnation } }: FleetWorker, { task, run, role }: AttributedCrash): void {
-    task.crashes.recordUnproven({ run, role, unprovenEnd: { worker: id, address, incarnation, forgetAt: Math.round(this._fleetTime.now()) + UNPROVEN_RETENTION_MILLISECONDS } })
+  /** A worker that was only silent has crashed if it is back before its lease would have expired; otherwise its VM was probably lost. */
+  private _recordUnproven ({ entry: { id, address, incarnation }, refusesConnections, leaseExpiresAt }: FleetWorker, { task, run, role }: AttributedCrash): void {
+    const forgetAt = refusesConnections ? this._fleetTime.now() + UNPROVEN_RETENTION_MILLISECONDS : this._fleetTime.fromLocal(leaseExpiresAt)
+    task.crashes.recordUnproven({ run, role, unprovenEnd: { worker: id, address, incarnation, forgetAt: Math.round(forgetAt) } })
     if (role !== 'unconfirmed') task.awaitIsolation(this._clock.now())
     this._jobs.updateUnprovenCrashes(task)
   }
