Log how many inherited runs nothing is known of but that they were placed

Change: the line has the number of their runs and of those without an accepted start. No logic is changed.

--- a/src/scheduling/lease-bounds.ts
+++ b/src/scheduling/lease-bounds.ts
@@ -100,13 +100,16 @@
     this._writer.append({ kind: 'lease-bound', worker: id, incarnation, term: this._term, at: this._fleetTime.now(), expiresAt: this._fleetTime.fromLocal(leaseExpiresAt), address, refusesConnections, hasSuccessor })
   }
 
-  /** Logs by when the leases of the workers that have not reported yet have expired. */
+  /** Logs by when the leases of the workers that have not reported yet have expired, and how many of their runs wait for that even if the platform shows the worker's end. */
   private _logInherited (occupied: readonly FleetWorker[], unheard: readonly FleetWorker[]): void {
+    const runs = unheard.flatMap(({ tasks }) => [...tasks])
     const expiries = unheard.map(({ leaseExpiresAt }) => Math.round(leaseExpiresAt)).sort((left, right) => left - right)
     this._log.emit('leases inherited', {
       workers: occupied.length,
       unheard: unheard.length,
       unlisted: unheard.filter(({ isListed }) => !isListed).length,
+      runs: runs.length,
+      unknownStarts: runs.length - unheard.flatMap(({ startedTasks }) => startedTasks).length,
       firstExpiresAt: expiries[0] ?? null,
       lastExpiresAt: expiries.at(-1) ?? null
     })
