--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -7,7 +7,7 @@
 import type { JobObserver } from './job-observer.js'
 import { JobView } from './job-view.js'
 import type { JournalRecord } from './journal-record.js'
-import type { LeaseBound } from './lease-bound.js'
+import { LeaseBoundTable } from './lease-bound-table.js'
 import type { LeaseRenewals } from './lease-renewals.js'
 import { PendingJobs } from './pending-jobs.js'
 import type { Term } from './term.js'
@@ -31,6 +31,8 @@
   observer: JobObserver | null = null
   /** Size of the jobs in `jobs`, by team. */
   readonly backlog = new JobBacklog()
+  /** The bounds on the leases of workers. */
+  readonly leaseBounds: LeaseBoundTable
   private readonly _jobs = new Map<string, JobView>()
   private readonly _outcomes = new Map<string, JobState>()
   private readonly _pending: PendingJobs
@@ -39,7 +41,6 @@
   private readonly _earlyDecisions = new Map<string, Array<(job: JobView) => boolean>>()
   private readonly _waves = new Map<number, WaveProgress>()
   private readonly _orders = new Map<string, { readonly term: number, readonly orderedAt: number }>()
-  private readonly _leaseBounds = new Map<string, LeaseBound>()
   private _ownerRecordCount = 0
   /** The last holder of each process that is known to have ended, with the epoch milliseconds at which this process read of it. */
   private readonly _endedHolders = new Map<string, { readonly holder: string, readonly endedBefore: number }>()
@@ -47,6 +48,7 @@
 
   constructor (private readonly _clock: Clock) {
     this._pending = new PendingJobs(_clock)
+    this.leaseBounds = new LeaseBoundTable(_clock)
   }
 
   /** Newest term claimed. */
@@ -100,21 +102,6 @@
     return ended?.holder === holder ? ended.endedBefore : Infinity
   }
 
-  /** IDs of the workers with a bound on their leases. */
-  get workersWithLeaseBound (): IterableIterator<string> {
-    return this._leaseBounds.keys()
-  }
-
-  /** Returns the bound on the leases of a worker, or null if the journal has none. */
-  leaseBound (worker: string): LeaseBound | null {
-    return this._leaseBounds.get(worker) ?? null
-  }
-
-  /** Forgets the bounds of all workers but the given ones. */
-  retainLeaseBounds (workers: ReadonlySet<string>): void {
-    for (const worker of [...this._leaseBounds.keys()]) if (!workers.has(worker)) this._leaseBounds.delete(worker)
-  }
-
   /** Returns the number of accepted jobs of a queue of which nothing has started. */
   countPending (queue: string): number {
     return this._pending.count(queue)
@@ -162,10 +149,10 @@
         this._orders.set(record.virtualMachine, { term: record.term, orderedAt: record.at })
         return true
       case 'lease-bound':
-        this._applyLeaseBound(record)
+        this.leaseBounds.apply(record)
         return true
       case 'lease-bound-withdrawal':
-        this._leaseBounds.delete(record.worker)
+        this.leaseBounds.withdraw(record.worker)
         return true
     }
   }
@@ -210,13 +197,6 @@
     return { term, holder, process, at, until: isReleased ? at : until, resumesAfter: until, resumesUntil: at, othersUntil: othersRenewUntil ?? until, workerClocks: [] }
   }
 
-  /** The same bound may be read again, and still runs from the first time. */
-  private _applyLeaseBound ({ worker, incarnation, term, at, expiresAt, address = '', refusesConnections = false, hasSuccessor = false }: Extract<JournalRecord, { kind: 'lease-bound' }>): void {
-    const known = this._leaseBounds.get(worker)
-    if (known?.incarnation === incarnation && known.term === term && known.decidedAt === at && known.expiresAt === expiresAt) return
-    this._leaseBounds.set(worker, { incarnation, term, decidedAt: at, expiresAt, expiresAtLatest: this._clock.now() + Math.max(0, expiresAt - at), address, refusesConnections, hasSuccessor })
-  }
-
   /** Applies a decision now, or once the submission has been read. Returns false if it doesn't fit the job. */
   private _applyDecision (id: string, decision: (job: JobView) => boolean): boolean {
     if (this._outcomes.has(id)) return true
--- a/src/ownership/earlier-owners.ts
+++ b/src/ownership/earlier-owners.ts
@@ -76,7 +76,7 @@
    * was written since an owner last extended leases.
    */
   leaseBound (worker: string, incarnation: number): number | null {
-    const bound = this._jobTable.leaseBound(worker)
+    const bound = this._jobTable.leaseBounds.of(worker)
     const renewingTerm = this._renewals?.term ?? 0
     if (bound?.incarnation !== incarnation || bound.term < renewingTerm) return null
     // Times of different owners don't compare: each may have set the fleet time anew.
@@ -85,7 +85,7 @@
 
   /** Returns what the journal says of a worker that earlier owners couldn't reach, and whose entry the registry may no longer have. */
   unreachableWorker (worker: string, incarnation: number): { readonly address: string, readonly refusesConnections: boolean } {
-    const bound = this._jobTable.leaseBound(worker)
+    const bound = this._jobTable.leaseBounds.of(worker)
     return bound?.incarnation === incarnation ? bound : { address: '', refusesConnections: false }
   }
 
--- a/src/scheduling/lease-bounds.ts
+++ b/src/scheduling/lease-bounds.ts
@@ -65,7 +65,7 @@
     const occupied = [...workers].filter(({ tasks }) => tasks.size > 0)
     const unheard = occupied.filter(({ lastReportAt }) => lastReportAt === 0)
     const unheardIds = new Set(unheard.map(({ entry: { id } }) => id))
-    for (const id of [...this._jobTable.workersWithLeaseBound]) if (!unheardIds.has(id)) this._writer.append({ kind: 'lease-bound-withdrawal', worker: id })
+    for (const id of [...this._jobTable.leaseBounds.workers]) if (!unheardIds.has(id)) this._writer.append({ kind: 'lease-bound-withdrawal', worker: id })
     for (const worker of occupied) if (worker.lastReportAt > 0) worker.hasLeaseBound = false
     for (const worker of unheard) {
       this._inheritSuccessor(worker)
@@ -83,7 +83,7 @@
 
   /** The successor that an earlier owner has seen may have left since. */
   private _inheritSuccessor (worker: FleetWorker): void {
-    const bound = this._jobTable.leaseBound(worker.entry.id)
+    const bound = this._jobTable.leaseBounds.of(worker.entry.id)
     if (!bound?.hasSuccessor || bound.incarnation !== worker.entry.incarnation) return
     worker.refusesConnections = true
     worker.hasSuccessor = true
