Tell the next owner of every placement whether its start is settled

What callers saw: after the loss of an owner, tasks of workers that had ended ran again only when the longest lease that an earlier owner may have extended was over, 3 to 8 s after the platform's lists showed the end.

Cause: the next owner gives up a run by the lists only if no start of it can be on its way, since a late one may reach the worker's next incarnation.

A new owner keeps its predecessor's until it knows all placed tasks; if a job can't be restored it writes none.

--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -10,6 +10,7 @@
 import { LeaseBoundTable } from './lease-bound-table.js'
 import type { LeaseRenewals } from './lease-renewals.js'
 import { PendingJobs } from './pending-jobs.js'
+import type { SettledStarts } from './settled-starts.js'
 import type { Term } from './term.js'
 import type { WaveProgress } from './wave-progress.js'
 
@@ -42,6 +43,7 @@
   private readonly _waves = new Map<number, WaveProgress>()
   private readonly _orders = new Map<string, { readonly term: number, readonly orderedAt: number }>()
   private _ownerRecordCount = 0
+  private _settledStarts: SettledStarts = { before: 0, except: [] }
   /** The last holder of each process that is known to have ended, with the epoch milliseconds at which this process read of it. */
   private readonly _endedHolders = new Map<string, { readonly holder: string, readonly endedBefore: number }>()
   private _term: Term = { number: 0, holder: '', process: '', isReleased: true, renewedAt: 0, renewals: null, renewalsReadAt: 0 }
@@ -102,6 +104,11 @@
     return ended?.holder === holder ? ended.endedBefore : Infinity
   }
 
+  /** Which starts are known to be no longer on their way. */
+  get settledStarts (): SettledStarts {
+    return this._settledStarts
+  }
+
   /** Returns the number of accepted jobs of a queue of which nothing has started. */
   countPending (queue: string): number {
     return this._pending.count(queue)
@@ -154,6 +161,9 @@
       case 'lease-bound-withdrawal':
         this.leaseBounds.withdraw(record.worker)
         return true
+      case 'settled-starts':
+        this._settledStarts = record.starts
+        return true
     }
   }
 
--- a/src/jobs/journal-record.ts
+++ b/src/jobs/journal-record.ts
@@ -4,6 +4,7 @@
 import * as z from 'zod'
 import { JobSubmission } from './job-submission.js'
 import { LeaseRenewals } from './lease-renewals.js'
+import { SettledStarts } from './settled-starts.js'
 import { TaskProgress } from './task-progress.js'
 import { WaveProgress } from './wave-progress.js'
 
@@ -59,6 +60,8 @@
     refusesConnections: z.boolean().optional(),
     hasSuccessor: z.boolean().optional()
   }),
+  /** Which starts are no longer on their way, whichever owner sent them. */
+  z.object({ kind: z.literal('settled-starts'), starts: SettledStarts }),
   /** Withdraws the bound: the owner is about to extend leases of the worker, or nothing runs there any more. */
   z.object({ kind: z.literal('lease-bound-withdrawal'), worker: z.string() })
 ])
--- a/src/jobs/task-progress.ts
+++ b/src/jobs/task-progress.ts
@@ -20,8 +20,10 @@
   incarnation: z.number(),
   /** Reading of that worker's clock when the run was decided on, in milliseconds; only of a placed task that lasts, and missing in records of older versions. */
   placedAtClock: z.number().optional(),
-  /** Whether the worker has accepted the start of that run or has reported it, so that no start is on its way; only of a placed task that lasts. */
+  /** Whether the worker has accepted the start of that run or has reported it, so that no start is on its way; only of a placed task. */
   isStarted: z.boolean().optional(),
+  /** Number of the placement, higher than those of all earlier ones; only of a placed task whose start may be on its way, and missing in records of older versions. */
+  placementNumber: z.number().int().min(1).optional(),
   /** Newest checkpoint; empty for none. */
   checkpoint: z.string(),
   /** Runs under which their worker crashed, or may have. */
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -43,7 +43,6 @@
 import { OutcomeRetentionTask } from '../scheduling/outcome-retention-task.js'
 import { ScheduledJobTable } from '../scheduling/scheduled-job-table.js'
 import { FillerThrottlingTask } from '../scheduling/filler-throttling-task.js'
-import { PendingStarts } from '../scheduling/pending-starts.js'
 import { PlacementTask } from '../scheduling/placement-task.js'
 import { WorkerReconciler } from '../scheduling/worker-reconciler.js'
 import { ResourceReservations } from '../scheduling/resource-reservations.js'
@@ -61,6 +60,7 @@
 import { LeaseRenewalTask } from '../scheduling/lease-renewal-task.js'
 import { RecentStartAttributionPolicy } from '../scheduling/recent-start-attribution-policy.js'
 import { UnknownWorkerEnds } from '../scheduling/unknown-worker-ends.js'
+import { UnsettledStarts } from '../scheduling/unsettled-starts.js'
 import { WorkerLossHandler } from '../scheduling/worker-loss-handler.js'
 import { WorkerTable } from '../scheduling/worker-table.js'
 import { WorkingSet } from '../scheduling/working-set.js'
@@ -109,7 +109,8 @@
     const leaseRenewals = this._createSupervisor('holds')
     const orders = this._createSupervisor('orders')
     const permit = new LeaseRenewalPermit(term, this._holder, earlierOwners, (): WorkerTable => workerTable, this._fleetTime, clock)
-    const writer = new DecisionWriterTask(this._decisionJournal, this._decisions, term, claim.sentAt, this._holder, permit, this._fleetTime, onLost, clock, random, metrics)
+    const unsettledStarts = new UnsettledStarts(jobTable.settledStarts)
+    const writer = new DecisionWriterTask(this._decisionJournal, this._decisions, term, claim.sentAt, this._holder, permit, unsettledStarts, this._fleetTime, onLost, clock, random, metrics)
     const dispatcher: SupervisedRunOrderDispatcher = new SupervisedRunOrderDispatcher(
       orders,
       (task, worker) => new StartRunTask(task, worker, advice, outcomes, dispatcher, pace, onLost, clock, metrics),
@@ -119,8 +120,7 @@
     const workerTable: WorkerTable = new WorkerTable(configuration, new InheritedLeases(leaseMilliseconds, earlierOwners, clock, log), earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
-    const pendingStarts = new PendingStarts()
-    const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, pendingStarts, this._fleetTime, clock, metrics, log)
+    const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, unsettledStarts, this._fleetTime, clock, metrics, log)
     const outcomes = new StartOutcomeHandler(schedule, scheduledJobs, workerTable, clock, metrics, log)
     const leaseBounds = new LeaseBounds(jobTable, writer, term, this._fleetTime, log)
     const losses = new WorkerLossHandler(schedule, scheduledJobs, leaseBounds, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, this._fleetTime, clock, metrics, log)
@@ -135,10 +135,10 @@
     const inventory = this._virtualMachineControl && new InventoryTask(this._virtualMachineControl, listings, clock, log)
     const lostWorkers = new LostWorkerDetector(workerTable, inventory ? new ListedWorkerEnds(listings, inventory) : new UnknownWorkerEnds(), leaseBounds, losses)
     const placement = new PlacementTask(
-      schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, lostWorkers, pendingStarts, pace,
+      schedule, scheduledJobs, new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), workerTable, reservations, new UrgencyPlacementPolicy(configuration, reservations.teamUsage), advice, configuration, lostWorkers, unsettledStarts, pace,
       () => this._viewFreshAt(), clock, metrics, log
     )
-    const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, schedule, losses, placement, clock, log)
+    const takeover = new TakeoverTask(jobTable, workerRegistry, workerTable, leaseBounds, unsettledStarts, schedule, losses, placement, clock, log)
 
     const owner = this._createSupervisor('owner')
     // Children stop in reverse order: placement before the writer, and the writer before the orders that follow from its last decisions.
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -7,6 +7,7 @@
 import type { JournalRecord } from '../jobs/journal-record.js'
 import { LeaseRenewals } from '../jobs/lease-renewals.js'
 import type { RunCrash } from '../jobs/run-crash.js'
+import { SettledStarts } from '../jobs/settled-starts.js'
 import type { TaskProgress } from '../jobs/task-progress.js'
 import { UnprovenEnd } from '../jobs/unproven-end.js'
 import { WaveProgress } from '../jobs/wave-progress.js'
@@ -24,12 +25,12 @@
 const CrashRow = z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1), UnprovenEnd.optional()])
 
 /**
- * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, a 1 if the task waits and every start so far was refused or a 2 if the start of its run has been accepted, and the worker's clock at the placement. A compact tuple, because
- * every change rewrites all rows of a step.
+ * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, a 1 if the task waits and every start so far was refused or a 2 if the start of its run has been accepted, the worker's clock at the placement or null, and the number of the
+ * placement if its start may be on its way. A compact tuple, because every change rewrites all rows of a step.
  */
 const TaskRow = z.tuple([
   z.number().int().min(0).max(PHASES.length - 1), z.number(), z.array(z.number()), z.string(), z.number(), z.string(),
-  z.array(CrashRow).optional(), z.literal([0, 1, 2]).optional(), z.number().optional()
+  z.array(CrashRow).optional(), z.literal([0, 1, 2]).optional(), z.number().nullable().optional(), z.number().int().min(1).optional()
 ])
 const TaskRows = listOf(TaskRow)
 const TermValue = z.object({
@@ -51,7 +52,7 @@
 
 /**
  * Keys of submissions are `job/ID`, `cancel/ID` and `ended/PROCESS`; keys of decisions are `verdict/ID`, `step/ID/OCCURRENCE/STEP`, `over/ID`, `term`,
- * `wave/NUMBER`, `order/VM` and `lease/WORKER`.
+ * `wave/NUMBER`, `order/VM`, `lease/WORKER` and `starts`.
  */
 export class JournalCodec {
   /** An outcome also deletes the keys of the job's other decisions. */
@@ -68,6 +69,7 @@
       case 'order': return [this._jsonRecord(`order/${record.virtualMachine}`, { term: record.term, at: record.at })]
       case 'lease-bound': return [this._jsonRecord(`lease/${record.worker}`, this._leaseBoundValue(record))]
       case 'lease-bound-withdrawal': return [{ key: `lease/${record.worker}`, value: TOMBSTONE }]
+      case 'settled-starts': return [this._jsonRecord('starts', record.starts)]
       case 'outcome': return this._encodeOutcome(record)
       case 'retirement': return [{ key: `over/${record.job}`, value: TOMBSTONE }]
     }
@@ -90,6 +92,7 @@
       case 'wave': return parseJson(WaveProgress, value).toMaybe().filter(progress => String(progress.wave) === id).map(progress => ({ kind: 'wave', progress }))
       case 'order': return parseJson(OrderValue, value).toMaybe().map(order => ({ kind: 'order', virtualMachine: id, ...order }))
       case 'lease': return parseJson(LeaseBoundValue, value).toMaybe().map(bound => ({ kind: 'lease-bound', worker: id, ...bound }))
+      case 'starts': return parseJson(SettledStarts, value).toMaybe().map(starts => ({ kind: 'settled-starts', starts }))
       default: return Nothing
     }
   }
@@ -118,17 +121,19 @@
     return [this._jsonRecord(`over/${job}`, { queue, state }), ...keys.map(key => ({ key, value: TOMBSTONE }))]
   }
 
-  private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, placedAtClock, isStarted = false, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
+  private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, placedAtClock, isStarted = false, placementNumber, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
     const row: z.infer<typeof TaskRow> = [PHASES.indexOf(phase), run, failedRuns, worker, incarnation, checkpoint]
     const isRefused = run > 0 && !hasBegun
-    const isTimed = placedAtClock !== undefined
+    const isNumbered = placementNumber !== undefined
+    const isTimed = placedAtClock !== undefined || isNumbered
     if (crashes.length > 0 || isRefused || isStarted || isTimed) row[6] = crashes.map(crash => this._encodeCrash(crash))
     if (isRefused || isStarted || isTimed) row[7] = isRefused ? 1 : isStarted ? 2 : 0
-    if (isTimed) row[8] = placedAtClock
+    if (isTimed) row[8] = placedAtClock ?? null
+    if (isNumbered) row[9] = placementNumber
     return row
   }
 
-  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint, crashes = [], starts = 0, placedAtClock]: z.infer<typeof TaskRow>): TaskProgress {
+  private static _decodeTask ([phase, run, failedRuns, worker, incarnation, checkpoint, crashes = [], starts = 0, placedAtClock = null, placementNumber]: z.infer<typeof TaskRow>): TaskProgress {
     return {
       phase: PHASES[phase] ?? 'waiting',
       run,
@@ -136,8 +141,9 @@
       failedRuns,
       worker,
       incarnation,
-      ...placedAtClock === undefined ? {} : { placedAtClock },
+      ...placedAtClock === null ? {} : { placedAtClock },
       ...starts === 2 ? { isStarted: true } : {},
+      ...placementNumber === undefined ? {} : { placementNumber },
       checkpoint,
       crashes: crashes.map(crash => this._decodeCrash(crash))
     }
--- a/src/scheduling/decision-writer-task.ts
+++ b/src/scheduling/decision-writer-task.ts
@@ -18,6 +18,7 @@
 import type { LeaseRenewalPermit } from './lease-renewal-permit.js'
 import { PendingDecisions } from './pending-decisions.js'
 import type { ScheduledStep } from './scheduled-step.js'
+import type { UnsettledStarts } from './unsettled-starts.js'
 
 /** Timeout of one attempt; a slow store responds within a few hundred milliseconds. */
 const APPEND_TIMEOUT_MILLISECONDS = 1_500
@@ -44,16 +45,18 @@
   private _confirmedAtTimeOfDay: number
   private _isWriting = false
   private _isAnnouncementDue = false
+  private _areSettledStartsDue = false
 
   /**
    * @param _decisions follower of the journal, which needn't read what this task has written.
    * @param _term the owner's term; its first append, the claim, had sequence number 0.
    * @param claimedAt epoch milliseconds at which the claim was sent.
    * @param _leaseRenewalPermit what the term's records say of leases.
+   * @param _unsettledStarts what the records say of starts.
    * @param _onTermLost called when the store rejects an append for good, as it does once a higher term has been claimed.
    */
   constructor (
-    private readonly _journal: JobJournal, private readonly _decisions: Pick<JournalFollowerTask, 'jobTable' | 'recordOwnAppend'>, private readonly _term: number, claimedAt: number, private readonly _holder: TermHolder, private readonly _leaseRenewalPermit: LeaseRenewalPermit, private readonly _fleetTime: FleetTime, private readonly _onTermLost: (cause: string) => void,
+    private readonly _journal: JobJournal, private readonly _decisions: Pick<JournalFollowerTask, 'jobTable' | 'recordOwnAppend'>, private readonly _term: number, claimedAt: number, private readonly _holder: TermHolder, private readonly _leaseRenewalPermit: LeaseRenewalPermit, private readonly _unsettledStarts: Pick<UnsettledStarts, 'takeChange'>, private readonly _fleetTime: FleetTime, private readonly _onTermLost: (cause: string) => void,
     private readonly _clock: Clock, random: RandomSource, private readonly _metrics: Metrics
   ) {
     super()
@@ -78,6 +81,12 @@
     this._wake.notify()
   }
 
+  /** Writes which starts are settled with the next append, without waiting for anything else to be written. */
+  writeSettledStarts (): void {
+    this._areSettledStartsDue = true
+    this._wake.notify()
+  }
+
   /** Renews the term with the next append, because what its record says has changed. */
   renewTerm (): void {
     this._renewedAt = -Infinity
@@ -118,7 +127,7 @@
   override async run (signal: AbortSignal): Promise<void> {
     let isReleased = false
     while (!signal.aborted || !isReleased) {
-      const batch = this._pending.take(this._renewal())
+      const batch = this._pending.take(this._leadingRecords())
       isReleased = signal.aborted && batch.isLast
       const records = [...batch.records, ...batch.isLast ? this._closingRecords(isReleased) : []]
       this._isWriting = true
@@ -134,11 +143,18 @@
     }
   }
 
-  /** Returns the record that renews the term if it is due, or null. It goes first, so that no amount of decisions delays it. */
-  private _renewal (): JournalRecord | null {
-    if (this._clock.now() < this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS) return null
-    this._renewedAt = this._clock.now()
-    return this._termRecord(false, this._renewedAt)
+  /** Returns the record that renews the term if it is due, and what has changed about starts if anything is written. They go first, so that no amount of decisions delays them. */
+  private _leadingRecords (): JournalRecord[] {
+    const records: JournalRecord[] = []
+    if (this._clock.now() >= this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS) {
+      this._renewedAt = this._clock.now()
+      records.push(this._termRecord(false, this._renewedAt))
+    }
+    if (records.length === 0 && this._pending.isEmpty && !this._areSettledStartsDue) return records
+    this._areSettledStartsDue = false
+    const starts = this._unsettledStarts.takeChange()
+    if (starts) records.push({ kind: 'settled-starts', starts })
+    return records
   }
 
   /** Returns what follows all other decisions: the release, which lets another process claim the next term at once, or the announcement. */
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -16,9 +16,9 @@
 import { ScheduledJob } from './scheduled-job.js'
 import type { ScheduledStep } from './scheduled-step.js'
 import type { ScheduledTask } from './scheduled-task.js'
-import type { PendingStarts } from './pending-starts.js'
 import type { RunOrderDispatcher } from './run-order-dispatcher.js'
 import type { ResourceReservations } from './resource-reservations.js'
+import type { UnsettledStarts } from './unsettled-starts.js'
 import type { WorkerReport } from './worker-report.js'
 import type { WorkerTable } from './worker-table.js'
 
@@ -37,7 +37,7 @@
     private readonly _configuration: ConfigurationFollowerTask,
     private readonly _writer: DecisionWriterTask,
     private readonly _dispatcher: RunOrderDispatcher,
-    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _pendingStarts: PendingStarts, private readonly _fleetTime: FleetTime,
+    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _unsettledStarts: UnsettledStarts, private readonly _fleetTime: FleetTime,
     private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -120,11 +120,11 @@
     this._giveUpIfExhausted(task)
   }
 
-  /** Writes that the current run of a task that lasts has started: the next owner then knows that no start of it is on its way. */
+  /** Records that the start of a task's current run is no longer on its way. The next owner knows that from an append soon after if the task lasts, and from the next one otherwise. */
   recordStart (task: ScheduledTask): void {
-    if (!task.step.definition.isLasting || task.isStarted) return
+    if (task.isStarted) return
     task.isStarted = true
-    this._writer.writeStep(task.step)
+    if (task.step.definition.isLasting) this._writer.writeSettledStarts()
   }
 
   /** Writes the progress of a task whose crashes have changed. */
@@ -135,8 +135,8 @@
   /** Places a task on a worker; the start order is sent once the decision is durable. Members of a gang share a run number. */
   place (task: ScheduledTask, worker: FleetWorker, run = task.run + 1): void {
     const now = this._clock.now()
-    task.beginRun(worker, run, now)
-    this._pendingStarts.add(task)
+    task.beginRun(worker, run, this._unsettledStarts.takeNumber(), now)
+    this._unsettledStarts.add(task)
     this._reservations.reserve(task, worker)
     this._writer.writeStep(task.step, () => this._startRun(task, worker, run, now))
   }
@@ -174,6 +174,7 @@
 
   /** Restores a task placed under an earlier term. Either its worker reports the run or the lease expires. */
   private _restorePlacement (task: ScheduledTask): void {
+    this._unsettledStarts.inherit(task)
     const worker = this._workers.findOrAddPlaceholder(task)
     if (worker.entry.incarnation !== task.incarnation) {
       this.requeue(task)
--- a/src/scheduling/pending-decisions.ts
+++ b/src/scheduling/pending-decisions.ts
@@ -51,11 +51,11 @@
   /**
    * Takes as many decisions as fit into one append: at least one, if there is one. A callback may depend on any of them, so callbacks come with the last.
    *
-   * @param first record that goes first, or null.
+   * @param first records that go first.
    */
-  take (first: JournalRecord | null): Batch {
-    const records = first ? [first] : []
-    let free = this._journal.sizeLimits.append - (first ? this._journal.sizeOf(first) : 0)
+  take (first: readonly JournalRecord[]): Batch {
+    const records = [...first]
+    let free = this._journal.sizeLimits.append - first.reduce((sum, record) => sum + this._journal.sizeOf(record), 0)
     const fits = (size: number): boolean => {
       free -= size
       return free >= 0 || records.length === 0
--- a/src/scheduling/placement-task.ts
+++ b/src/scheduling/placement-task.ts
@@ -17,10 +17,10 @@
 import type { ScheduledStep } from './scheduled-step.js'
 import type { ScheduledTask } from './scheduled-task.js'
 import type { OwnerPace } from './owner-pace.js'
-import type { PendingStarts } from './pending-starts.js'
 import type { PlacementPolicy } from './placement-policy.js'
 import type { ResourceReservations } from './resource-reservations.js'
 import { RunIsolation } from './run-isolation.js'
+import type { UnsettledStarts } from './unsettled-starts.js'
 import type { WorkingSet } from './working-set.js'
 import type { WorkerTable } from './worker-table.js'
 
@@ -47,7 +47,7 @@
   override readonly name = 'placement'
   /** @param _viewFreshAt returns the epoch milliseconds as of which the journal and the configuration are known. */
   constructor (
-    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workingSet: WorkingSet, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _lostWorkers: LostWorkerDetector, private readonly _pendingStarts: PendingStarts, private readonly _pace: OwnerPace,
+    private readonly _schedule: FleetSchedule, private readonly _jobs: ScheduledJobTable, private readonly _workingSet: WorkingSet, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _policy: PlacementPolicy, private readonly _advice: AdviceTask, private readonly _configuration: ConfigurationFollowerTask, private readonly _lostWorkers: LostWorkerDetector, private readonly _unsettledStarts: UnsettledStarts, private readonly _pace: OwnerPace,
     private readonly _viewFreshAt: () => number, private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -60,13 +60,13 @@
       const changesBefore = this._schedule.changeCount
       if (this._viewFreshAt() > now - MAXIMUM_VIEW_AGE_MILLISECONDS) this._runRound(now)
       await this._clock.sleepUntil(now + this._pace.roundIntervalMilliseconds, signal).catch(() => {})
-      if (this._schedule.changeCount === changesBefore && !isSecondLookNeeded && !this._pendingStarts.isFull) await this._schedule.changed.wait(this._clock, now + MAXIMUM_ROUND_INTERVAL_MILLISECONDS, signal)
+      if (this._schedule.changeCount === changesBefore && !isSecondLookNeeded && !this._unsettledStarts.isFull) await this._schedule.changed.wait(this._clock, now + MAXIMUM_ROUND_INTERVAL_MILLISECONDS, signal)
     }
   }
 
   private _runRound (now: number): void {
     this._workingSet.update(now)
-    this._pendingStarts.update()
+    this._unsettledStarts.update()
     const startableSteps = this._startableSteps(now)
     if (startableSteps.length === 0) return
     const round = { now, workersByPool: this._eligibleWorkersByPool(now), unplaceableByPool: new Map<string, Resources[]>(), isolation: new RunIsolation(now) }
@@ -86,7 +86,7 @@
   private _placeStep (step: ScheduledStep, { now, workersByPool, unplaceableByPool, isolation }: PlacementRound, isIsolated: boolean): number {
     const queue = this._configuration.queueOf(step.job.view.submission)
     const workers = workersByPool.get(queue?.pool ?? '')
-    if (!queue || !workers || this._pendingStarts.isFull) return 0
+    if (!queue || !workers || this._unsettledStarts.isFull) return 0
     const unplaceable = unplaceableByPool.get(queue.pool) ?? []
     unplaceableByPool.set(queue.pool, unplaceable)
     const startable = step.waitingTasks.filter(({ crashes }) => !crashes.isHeldBack)
@@ -145,7 +145,7 @@
     for (const task of tasks) {
       const { requiredLabel, maximumPerWorker } = task.step.definition
       if (!task.isOverdue(this._clock.now()) && unplaceable.some(demand => fitsWithin(demand, task.reservation))) break
-      if (!this._isWithinUpperLimit(task) || this._pendingStarts.isFull) break
+      if (!this._isWithinUpperLimit(task) || this._unsettledStarts.isFull) break
       const candidates = this._candidateWorkers(task, workers, isolation)
       const worker = task.crashes.isEmpty ? this._policy.chooseWorker(task, candidates) : isolation.choose(candidates)
       if (!worker) {
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -51,8 +51,10 @@
   startToken = Infinity
   /** Reading of the worker's clock when the current run was decided on, in milliseconds; 0 if unknown, and for tasks that don't last. */
   placedAtClock: number
-  /** Whether the start of the current run has been accepted or the run has been reported, as far as the journal has it or is about to; only for tasks that last. */
+  /** Whether the start of the current run is no longer on its way: its worker has accepted it or has reported the run, or the journal says so. */
   isStarted: boolean
+  /** Number of the current placement; 0 if an older version wrote it, or while the task has not been placed. */
+  placementNumber: number
   /** Time for which the current run had been active when this owner first saw it, in milliseconds. */
   private _earlierMilliseconds = 0
   /** Progress or readiness that the worker last reported. */
@@ -74,6 +76,7 @@
     this.incarnation = progress?.incarnation ?? 0
     this.placedAtClock = progress?.placedAtClock ?? 0
     this.isStarted = progress?.isStarted ?? false
+    this.placementNumber = progress?.placementNumber ?? 0
     this.crashes = new CrashHistory(progress?.crashes)
   }
 
@@ -108,6 +111,11 @@
     return this.phase === 'placed' && (this.runState === 'intended' || this.runState === 'starting')
   }
 
+  /** Whether the start of the current run may be on its way, or is yet to be sent. */
+  get isStartUnsettled (): boolean {
+    return this.phase === 'placed' && !this.isStarted
+  }
+
   /** Whether the current run may still crash its worker by its start: no report has shown yet that it has been running for a while. */
   get isOnTrial (): boolean {
     if (!this.worker) return false
@@ -125,10 +133,15 @@
     this.isolationDeadline = now + ISOLATION_TIMEOUT_MILLISECONDS
   }
 
-  /** Begins a run on a worker; nothing of it has been sent yet. */
-  beginRun (worker: FleetWorker, run: number, now: number): void {
+  /**
+   * Begins a run on a worker; nothing of it has been sent yet.
+   *
+   * @param placementNumber number of the placement, higher than those of all earlier ones.
+   */
+  beginRun (worker: FleetWorker, run: number, placementNumber: number, now: number): void {
     this.phase = 'placed'
     this.run = run
+    this.placementNumber = placementNumber
     this.workerId = worker.entry.id
     this.incarnation = worker.entry.incarnation
     this.placedAtClock = this.step.definition.isLasting ? worker.clockEstimate.readLatest(now) : 0
@@ -177,6 +190,7 @@
       incarnation: isPlaced ? this.incarnation : 0,
       ...isPlaced && this.placedAtClock > 0 ? { placedAtClock: this.placedAtClock } : {},
       ...isPlaced && this.isStarted ? { isStarted: true } : {},
+      ...this.isStartUnsettled && this.placementNumber > 0 ? { placementNumber: this.placementNumber } : {},
       checkpoint: this.phase === 'done' ? '' : this.checkpoint,
       crashes: this.phase === 'done' ? [] : [...this.crashes.records]
     }
--- a/src/scheduling/takeover-task.ts
+++ b/src/scheduling/takeover-task.ts
@@ -8,6 +8,7 @@
 import { Task } from '../supervision/task.js'
 import type { FleetSchedule } from './fleet-schedule.js'
 import type { LeaseBounds } from './lease-bounds.js'
+import type { UnsettledStarts } from './unsettled-starts.js'
 import type { WorkerLossHandler } from './worker-loss-handler.js'
 import type { WorkerRegistryFollowerTask } from './worker-registry-follower-task.js'
 import type { WorkerTable } from './worker-table.js'
@@ -21,7 +22,7 @@
   private _isDone = false
 
   constructor (
-    private readonly _jobTable: JobTable, private readonly _registry: WorkerRegistryFollowerTask, private readonly _workers: WorkerTable, private readonly _leaseBounds: LeaseBounds, private readonly _schedule: FleetSchedule, private readonly _losses: WorkerLossHandler,
+    private readonly _jobTable: JobTable, private readonly _registry: WorkerRegistryFollowerTask, private readonly _workers: WorkerTable, private readonly _leaseBounds: LeaseBounds, private readonly _unsettledStarts: Pick<UnsettledStarts, 'completeInheritance'>, private readonly _schedule: FleetSchedule, private readonly _losses: WorkerLossHandler,
     private readonly _placement: Task, private readonly _clock: Clock, private readonly _log: DecisionLog
   ) {
     super()
@@ -35,7 +36,8 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!this._registry.isLoaded && !signal.aborted) await this._registry.changed.wait(this._clock, Infinity, signal)
     if (signal.aborted) return
-    for (const job of this._jobTable.jobs) this._restore(job)
+    const areRestored = [...this._jobTable.jobs].map(job => this._restore(job))
+    if (!areRestored.includes(false)) this._unsettledStarts.completeInheritance()
     for (const { entry } of this._workers.all) this._losses.workerListed(entry)
     this._jobTable.observer = this._schedule
     await this._untilReported(signal)
@@ -57,12 +59,14 @@
     return listed.filter(({ lastReportAt }) => lastReportAt > 0).length >= listed.length / 2
   }
 
-  /** Restores a job. One that can't be restored doesn't keep the others from running: each next owner would read the same job. */
-  private _restore (job: JobView): void {
+  /** Restores a job; returns whether that succeeded. One that can't be restored doesn't keep the others from running: each next owner would read the same job. */
+  private _restore (job: JobView): boolean {
     try {
       this._schedule.jobSubmitted(job)
+      return true
     } catch (error) {
       this._log.emit('job not restored', { job: job.submission.id, cause: (error as Error).message })
+      return false
     }
   }
 }
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -160,7 +160,6 @@
       if (task.runState === 'intended') continue
       task.incarnation = incarnation
       task.placedAtClock = 0
-      task.isStarted = false
     }
     this._schedule.markChanged()
   }
--- a/tests/decision-writer-task.test.ts
+++ b/tests/decision-writer-task.test.ts
@@ -62,7 +62,7 @@
   const fleetTime = new FleetTime(clock, 'holder')
   const holder = { name: 'holder', process: 'one' }
   const permit = new LeaseRenewalPermit(5, holder, new EarlierOwners(jobTable, jobTable.term, clock.now(), clock.now()), () => ({ find: () => null, readClocks: () => [], forgetClocks: () => {} }), fleetTime, clock)
-  const writer = new DecisionWriterTask(journal, { jobTable, recordOwnAppend: () => {} }, 5, clock.now(), holder, permit, fleetTime, cause => lossCauses.push(cause), clock, new SeededRandomSource(1), metrics)
+  const writer = new DecisionWriterTask(journal, { jobTable, recordOwnAppend: () => {} }, 5, clock.now(), holder, permit, { takeChange: () => null }, fleetTime, cause => lossCauses.push(cause), clock, new SeededRandomSource(1), metrics)
   const root = new Supervisor('root', clock, new DecisionLogSupervisorObserver(new RecordingDecisionLog(), metrics))
   root.add(writer)
   root.run(new AbortController().signal).catch(() => {})
@@ -99,7 +99,7 @@
   for (let index = 0; index < 20; index++) pending.addRecord({ kind: 'outcome', job: `job${index}`, queue: 'queue', state: 'cancelled', occurrences: 1_000, steps: 20 })
   pending.addCallback(() => written.push('callback'))
   for (let appends = 0; !pending.isEmpty; appends++) {
-    const { records, callbacks, isLast } = pending.take(null)
+    const { records, callbacks, isLast } = pending.take([])
     expect(records.length).toBeGreaterThan(0)
     expect(records.reduce((size, record) => size + sizeOf(record), 0)).toBeLessThanOrEqual(sizeLimits.append)
     expect(callbacks.length).toBe(isLast ? 1 : 0)
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -33,7 +33,8 @@
     role: fc.constantFrom('bystander' as const, 'suspect' as const, 'culprit' as const, 'unconfirmed' as const),
     unprovenEnd: fc.record({ worker: fc.string(), address: fc.string(), incarnation: fc.nat(), forgetAt: fc.nat() })
   }, { requiredKeys: ['run', 'role'] })),
-  placedAtClock: fc.nat()
+  placedAtClock: fc.nat(),
+  placementNumber: fc.integer({ min: 1 })
 }, { requiredKeys: ['phase', 'run', 'hasBegun', 'failedRuns', 'worker', 'incarnation', 'checkpoint', 'crashes'] }).map(progress => ({ ...progress, hasBegun: progress.run > 0 && (progress.phase !== 'waiting' || progress.hasBegun) }))
 
 test('keyed records decode to what was encoded, and a truncated one is left for the next read', () => {
@@ -46,6 +47,14 @@
   }), { seed: 1 })
 })
 
+test('the record of settled starts decodes to what was encoded', () => {
+  fc.assert(fc.property(fc.nat(), fc.array(fc.nat()), (before, except) => {
+    const record = { kind: 'settled-starts' as const, starts: { before, except } }
+    const [encoded] = JournalCodec.encode(record)
+    expect(encoded ? JournalCodec.decode(encoded).extract() : null).toEqual(record)
+  }), { seed: 4 })
+})
+
 test('journal records decode to what was encoded', () => {
   const progress = fc.record({
     kind: fc.constant('progress' as const), job: fc.stringMatching(/^[0-9a-f]{16}$/), occurrence: fc.nat(1_000), step: fc.nat(100), tasks: fc.array(task, { maxLength: 8 })
--- a/tests/takeover-task.test.ts
+++ b/tests/takeover-task.test.ts
@@ -41,13 +41,16 @@
   const workers: Pick<WorkerTable, 'all' | 'refreshInheritedLeases'> = { all: [][Symbol.iterator](), refreshInheritedLeases: () => {} }
   const leaseBounds: Pick<LeaseBounds, 'adopt'> = { adopt: () => {} }
   const losses: Pick<WorkerLossHandler, 'workerListed'> = { workerListed: () => {} }
+  const inheritances: string[] = []
+  const unsettledStarts = { completeInheritance: () => inheritances.push('complete') }
   const placement = new RecordingTask()
   const log = new RecordingDecisionLog()
   const takeover = new TakeoverTask(
-    jobTable, registry as WorkerRegistryFollowerTask, workers as WorkerTable, leaseBounds as LeaseBounds, schedule as FleetSchedule, losses as WorkerLossHandler, placement, clock, log
+    jobTable, registry as WorkerRegistryFollowerTask, workers as WorkerTable, leaseBounds as LeaseBounds, unsettledStarts, schedule as FleetSchedule, losses as WorkerLossHandler, placement, clock, log
   )
   await takeover.run(new AbortController().signal)
   expect(restored).toEqual(['aaaa', 'cccc'])
   expect(placement.hasRun).toBe(true)
+  expect(inheritances).toEqual([])
   expect(log.fieldsOf('job not restored')).toEqual([{ job: 'bbbb', cause: 'bbbb is odd' }])
 })
