Give up starts of earlier owners on an ended worker a lease after the claim

Cause: such a start may be on its way, so that the platform's proof of its worker's end doesn't count for it. But what the owner waited for was the end of extensions by earlier owners, which matters for a worker that is alive; a start that comes late reaches another incarnation, whatever the lease was.

Change: nothing is sent by earlier owners after the claim, so that a lease after it such starts count as over, if the lists show that the worker has ended. Own starts without an answer wait as long.

--- a/src/ownership/earlier-owners.ts
+++ b/src/ownership/earlier-owners.ts
@@ -24,16 +24,16 @@
   /**
    * @param previous the term before the claim.
    * @param lastContactAt epoch milliseconds before which its holder wrote its last record.
-   * @param _claimedAt epoch milliseconds of the claim.
+   * @param claimedAt epoch milliseconds of the claim, since when they can't decide on anything.
    */
-  constructor (private readonly _jobTable: JobTable, readonly previous: Term, readonly lastContactAt: number, private readonly _claimedAt: number) {
+  constructor (private readonly _jobTable: JobTable, readonly previous: Term, readonly lastContactAt: number, readonly claimedAt: number) {
     this._renewals = previous.renewals
     this._writtenBefore = previous.renewalsReadAt
   }
 
   /** Epoch milliseconds until which any of them may have extended leases. It becomes earlier with what workers show, or when the last one's process turns out to have ended. */
   get renewLeasesUntil (): number {
-    if (!this._renewals) return this._claimedAt
+    if (!this._renewals) return this.claimedAt
     const { process, holder, until, resumesUntil, othersUntil } = this._renewals
     const ownUntil = this.isResumptionExcluded ? until : Math.max(until, resumesUntil)
     return Math.max(Math.min(this._toLocal(ownUntil), this._jobTable.holderEndedAt(process, holder)), this._toLocal(othersUntil))
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -84,8 +84,11 @@
   /** Whether other owners may have renewed leases of this incarnation. */
   private _hasInheritedLeases = true
 
-  /** @param _unknownLeasesExpireAt epoch milliseconds by which leases requested by other owners have expired. */
-  constructor (entry: WorkerEntry, private _unknownLeasesExpireAt: number) {
+  /**
+   * @param _unknownLeasesExpireAt epoch milliseconds by which leases requested by other owners have expired.
+   * @param _inheritedStartsOverAt epoch milliseconds by which no start of theirs is on its way any more.
+   */
+  constructor (entry: WorkerEntry, private _unknownLeasesExpireAt: number, private readonly _inheritedStartsOverAt: number) {
     super()
     this.entry = entry
   }
@@ -115,14 +118,19 @@
     return this.unreachableSince > 0 || (this.client === null && this.lastReportAt === 0)
   }
 
-  /**
-   * Tasks whose runs have started, and so end with the incarnation. A start that is still on its way may be carried out by the next incarnation under the ID: such tasks
-   * keep their reservation until that incarnation reports, or the lease has expired.
-   */
+  /** Tasks whose runs have started, and so end with the incarnation. */
   get startedTasks (): ScheduledTask[] {
     return [...this.tasks].filter(({ isConfirmed, isStarted, runState }) => isConfirmed || (runState === 'inherited' && isStarted))
   }
 
+  /**
+   * Returns the tasks whose runs are over if the incarnation has ended. A start that is still on its way may be carried out by the next incarnation under the ID: such tasks
+   * keep their reservation until that incarnation reports, the start is over, or the lease has expired.
+   */
+  tasksOverWithIncarnation (now: number): ScheduledTask[] {
+    return now < this._inheritedStartsOverAt ? this.startedTasks : [...this.tasks].filter(({ isConfirmed, runState }) => isConfirmed || runState === 'inherited')
+  }
+
   /** Whether its lease serves no run but such of which the start is unsettled: once it has expired, none of them runs or begins. */
   get hasOnlyUnsettledRuns (): boolean {
     return this.unsettledRuns.size + this.tasks.size > 0 && [...this.tasks].every(({ runState }) => runState === 'settling')
--- a/src/scheduling/inherited-leases.ts
+++ b/src/scheduling/inherited-leases.ts
@@ -37,6 +37,14 @@
     return Math.max(this._expireAt, this._clock.now() + this._longestLeaseMilliseconds)
   }
 
+  /**
+   * Epoch milliseconds by which no start of an earlier owner is on its way any more. An order that gets no response may be carried out seconds later; owners wait for the longest lease, as for
+   * their own.
+   */
+  get startsOverAt (): number {
+    return this._earlierOwners.claimedAt + this._longestLeaseMilliseconds
+  }
+
   private get _longestLeaseMilliseconds (): number {
     return this._leaseMilliseconds / WORKER_CLOCK_RATE.slowest + EXPIRY_MARGIN_MILLISECONDS
   }
--- a/src/scheduling/lost-worker-detector.ts
+++ b/src/scheduling/lost-worker-detector.ts
@@ -25,16 +25,16 @@
    * @param nextCheckAt epoch milliseconds by which the next check takes place.
    */
   check (now: number, nextCheckAt: number): boolean {
-    return [this._checkEnds(nextCheckAt), this._checkLeases(now)].includes(true)
+    return [this._checkEnds(now, nextCheckAt), this._checkLeases(now)].includes(true)
   }
 
-  private _checkEnds (nextCheckAt: number): boolean {
-    const silent = [...this._workers.all].filter(worker => worker.isSilent && worker.startedTasks.length > 0)
+  private _checkEnds (now: number, nextCheckAt: number): boolean {
+    const silent = [...this._workers.all].filter(worker => worker.isSilent && worker.tasksOverWithIncarnation(now).length > 0)
     if (silent.length > 0) this._ends.expectUntil(nextCheckAt)
     const ended = silent.filter(worker => this._ends.endOf(worker) !== null)
     for (const worker of ended) {
       const end = this._endedWorkers.has(worker) ? this._ends.endOf(worker) : null
-      if (end !== null) this._losses.endShown(worker, end)
+      if (end !== null) this._losses.endShown(worker, end, worker.tasksOverWithIncarnation(now))
     }
     const isAnyNew = ended.some(worker => !this._endedWorkers.has(worker))
     this._endedWorkers = new Set(ended)
--- a/src/scheduling/worker-loss-handler.ts
+++ b/src/scheduling/worker-loss-handler.ts
@@ -55,11 +55,15 @@
     this._release(worker, [...worker.tasks], 'lease expired', crashes)
   }
 
-  /** Handles an end that the platform shows. Unless it was planned the worker has crashed if another incarnation takes its place, which a later owner may see: it may as well be gone for good. */
-  endShown (worker: FleetWorker, end: 'by-order' | 'unexplained'): void {
+  /**
+   * Handles an end that the platform shows. Unless it was planned the worker has crashed if another incarnation takes its place, which a later owner may see: it may as well be gone for good.
+   *
+   * @param lost the tasks whose runs are over; starts of the others may still be on their way.
+   */
+  endShown (worker: FleetWorker, end: 'by-order' | 'unexplained', lost: readonly ScheduledTask[]): void {
     const crashes = end === 'unexplained' && this._isUnplanned(worker) ? this._attribution.attribute(worker) : []
     this._logLoss('worker end shown', worker, end, crashes)
-    this._release(worker, worker.startedTasks, 'the platform shows that its worker has ended', crashes)
+    this._release(worker, lost, 'the platform shows that its worker has ended', crashes)
   }
 
   /** Records the crashes of a worker whose lease had expired before another incarnation took its place. */
--- a/src/scheduling/worker-table.ts
+++ b/src/scheduling/worker-table.ts
@@ -183,7 +183,7 @@
 
   /** Creates a worker with the leases that earlier owners may have requested. */
   private _create (entry: WorkerEntry): FleetWorker {
-    const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation))
+    const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation), this._inheritedLeases.startsOverAt)
     worker.hasLeaseBound = this._earlierOwners.leaseBound(entry.id, entry.incarnation) !== null
     worker.boundExpiresAt = Infinity
     worker.incarnationKnownAt = this._clock.now()
