Wait for a restarted worker's first report before giving up a run whose start may come late

Cause: the registry's entry of a worker's next incarnation ended all runs that the owner had inherited, also those whose start was not known to be accepted. Such a start may still be on its way, and the next incarnation, which has seen no fencing token, carries it out until this owner has called it. The lists of VMs already didn't end such runs, and the starts of this owner's own were kept as well; the entry was the way round both.

Evidence: in three of four red cases of tests/late-starts-after-ends.test.ts the log has 'worker restarted', 'run lost' and 'runs placed' in the same millisecond as the ID is back (5.016, 7.016 and 8.516 s), the late start 1 ms later, and the first call 0.26 to 0.42 s later.

Now such runs keep their reservation until the incarnation has reported. The report's request carries this term's token, which shuts out the start if it hasn't arrived by then, and shows the run if it has. A run whose start was accepted is given up at once as before.

Measured: those three cases pass. The fourth stays in KNOWN-RED.txt with its trace: the owner had placed the task elsewhere after the lease, 1.2 s before the ID was back.

--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -153,7 +153,9 @@
     // Another owner may have started a run on the new incarnation; its completion may be in a part of the report that follows.
     const mayFollow = (task: ScheduledTask): boolean => task.runState === 'inherited' && report?.isComplete === false
     const survivors = [...worker.tasks].filter(task => mayFollow(task) || reported.some(other => other.task === task.name && other.run === task.run))
-    const lost = [...worker.tasks].filter(task => !survivors.includes(task) && task.runState !== 'starting' && task.runState !== 'settling' && task.runState !== 'intended')
+    // Until this owner has called the new incarnation, a start on its way to the previous one may still begin there.
+    const ended = report ? [...worker.tasks].filter(({ runState }) => runState !== 'starting' && runState !== 'settling' && runState !== 'intended') : worker.startedTasks
+    const lost = ended.filter(task => !survivors.includes(task))
     this._losses.incarnationEnded(worker, 'worker restarted', lost, survivors)
     worker.startIncarnation(incarnation, this._clock.now(), this._workers.unknownLeasesExpireAt)
     for (const task of worker.tasks) {
