Name the pool in the record of a move, and finish the moves of earlier owners

Callers saw one or two lasting tasks end with their VM, seconds after a change of owner: a move that the earlier owner had ordered was carried out 5 or 12 s later, by when the next owner had placed tasks on the VM.

The next owner couldn't tell from the list of VMs whether the order had been carried out, and neither kept tasks off the VM nor shut the order out.

Now the record of a move names its pool and the VM's worker, both optional, so that older records are read as before. A refusal without effect is recorded, so that the VM isn't kept free for nothing.

Not covered: a VM under maintenance is cordoned from the first list of the next owner on, as before.

--- a/src/capacity/pool-sizing-task.ts
+++ b/src/capacity/pool-sizing-task.ts
@@ -14,6 +14,7 @@
 import type { FleetVirtualMachineControl } from './fleet-virtual-machine-control.js'
 import type { VirtualMachineError } from './virtual-machine-error.js'
 import type { VirtualMachineLocks } from './virtual-machine-locks.js'
+import type { VirtualMachineMove } from './virtual-machine-move.js'
 import type { PoolStateCollector } from './pool-state-collector.js'
 import type { PoolSizingPolicy } from './pool-sizing-policy.js'
 
@@ -35,26 +36,10 @@
 /** Time after which a move whose VM doesn't appear in its pool, or has got tasks again, is abandoned, in milliseconds: the platform carries orders out some seconds late at most. */
 const MOVE_TIMEOUT_MILLISECONDS = 15_000
 
-/** A move in progress; times are in epoch milliseconds, 0 for not yet. */
-interface Move {
-  readonly virtualMachine: string
-  readonly from: string
-  readonly to: string
-  readonly startedAt: number
-  /** When the newest order was sent. */
-  sentAt: number
-  /** When the platform confirmed that the order was carried out. */
-  completedAt: number
-  /** Whether an order awaits its response. */
-  isInFlight: boolean
-  /** Whether the outcome of an order is unknown, so that it may still be carried out. */
-  isUncertain: boolean
-}
-
 /** Compares each pool with its desired size and moves VMs without tasks. Shortages are filled from the standby pool first; VMs that no pool needs return to it. */
 export class PoolSizingTask extends Task {
   override readonly name = 'pool-sizing'
-  private readonly _moves = new Map<string, Move>()
+  private readonly _moves = new Map<string, VirtualMachineMove>()
   /** Moves that the platform can't carry out, as `VM POOL`. */
   private readonly _rejectedMoves = new Set<string>()
   /** Epoch milliseconds before which a VM of which the platform has refused the move for now isn't moved, by VM. */
@@ -73,13 +58,12 @@
   }
 
   override async run (signal: AbortSignal): Promise<void> {
+    this._inheritMoves()
     while (!signal.aborted) {
       const now = this._clock.now()
       if (this._locks.mayEarlierOrdersBePending) this._inventory.expectChangesUntil(now + ROUND_INTERVAL_MILLISECONDS)
-      if (this._inventory.listedAt > 0) {
-        for (const move of [...this._moves.values()]) this._advance(move, now, signal)
-        if (this._isViewCurrent() && this._isListCurrent(now)) this._resize(now, signal)
-      }
+      for (const move of [...this._moves.values()]) this._advance(move, now, signal)
+      if (this._inventory.listedAt > 0 && this._isViewCurrent() && this._isListCurrent(now)) this._resize(now, signal)
       await this._clock.sleepUntil(now + ROUND_INTERVAL_MILLISECONDS, signal).catch(() => {})
     }
   }
@@ -90,6 +74,13 @@
     return !this._locks.mayEarlierOrdersBePending || this._inventory.listedAt > now - maximumAge
   }
 
+  private _inheritMoves (): void {
+    for (const move of this._locks.inheritMoves()) {
+      this._moves.set(move.virtualMachine, move)
+      this._log.emit('move inherited', { virtualMachine: move.virtualMachine, to: move.to, term: this._term })
+    }
+  }
+
   private _resize (now: number, signal: AbortSignal): void {
     const pools = this._poolStates.collect(this._moves, now)
     if (pools.length === 0) return
@@ -168,14 +159,14 @@
   private _startMove (candidate: FleetVirtualMachine, to: string, now: number, signal: AbortSignal): void {
     if (!this._locks.acquire(candidate.id, 'move')) return
     this._locks.cordons.cordon(candidate.id)
-    const move: Move = { virtualMachine: candidate.id, from: candidate.pool, to, startedAt: now, sentAt: 0, completedAt: 0, isInFlight: false, isUncertain: false }
+    const move: VirtualMachineMove = { virtualMachine: candidate.id, from: candidate.pool, to, startedAt: now, sentAt: 0, completedAt: 0, isInherited: false, isInFlight: false, isUncertain: false }
     this._moves.set(candidate.id, move)
     this._metrics.count('capacity.moves', 1, to)
     this._advance(move, now, signal)
   }
 
   /** Sends the order, retries it if necessary, and finishes the move when the list shows the VM in its new pool. */
-  private _advance (move: Move, now: number, signal: AbortSignal): void {
+  private _advance (move: VirtualMachineMove, now: number, signal: AbortSignal): void {
     this._inventory.expectChangesUntil(now + ROUND_INTERVAL_MILLISECONDS)
     if (move.completedAt > 0) {
       const listed = this._inventory.virtualMachineById(move.virtualMachine)
@@ -183,6 +174,7 @@
       if (hasArrived || now > move.startedAt + MOVE_TIMEOUT_MILLISECONDS) this._finish(move, hasArrived ? 'in its pool' : 'not seen again')
       return
     }
+    if (move.isInherited && !this._isRepeatDue(move, now)) return
     const isEvacuated = this._isEvacuated(move)
     if (move.isInFlight || now < move.sentAt + RETRY_DELAY_MILLISECONDS) return
     if (!isEvacuated) {
@@ -191,25 +183,46 @@
     }
     move.isInFlight = true
     move.sentAt = now
-    this._locks.recordOrder(move.virtualMachine, () => this._send(move, signal), () => {
+    const worker = this._inventory.virtualMachineById(move.virtualMachine)?.worker ?? ''
+    this._locks.recordOrder(move.virtualMachine, { pool: move.to, worker }, () => this._send(move, signal), () => {
       move.isInFlight = false
       this._log.emit('order postponed', { virtualMachine: move.virtualMachine, term: this._term, cause: 'the store has not confirmed the term recently' })
     })
   }
 
+  /**
+   * Returns whether to order an inherited move. The order ends the uncertainty: from then on the platform refuses the earlier one, or it has no effect. Before that a list may show that the
+   * earlier one has been carried out.
+   */
+  private _isRepeatDue (move: VirtualMachineMove, now: number): boolean {
+    if (move.sentAt > 0) return true
+    const listed = this._inventory.virtualMachineById(move.virtualMachine)
+    if (listed?.pool === move.to) {
+      if (listed.state === 'up') this._finish(move, 'in its pool')
+      else move.completedAt = now
+      return false
+    }
+    if (now > move.startedAt + MOVE_TIMEOUT_MILLISECONDS) {
+      this._finish(move, 'not carried out')
+      return false
+    }
+    this._locks.cordons.cordon(move.virtualMachine)
+    return listed !== null && this._isViewCurrent() && this._locks.isOrderAllowed(move.virtualMachine)
+  }
+
   /** Cordons the VM's worker, unless the VM is in its new pool already: then a repeated order has no effect. Returns whether an order ends no run. */
-  private _isEvacuated ({ virtualMachine, to, sentAt }: Move): boolean {
+  private _isEvacuated ({ virtualMachine, to, sentAt }: VirtualMachineMove): boolean {
     if (this._inventory.virtualMachineById(virtualMachine)?.pool === to) return true
     return sentAt === 0 ? this._locks.cordons.cordon(virtualMachine) : this._locks.cordons.isEvacuated(virtualMachine)
   }
 
-  private _send (move: Move, signal: AbortSignal): void {
+  private _send (move: VirtualMachineMove, signal: AbortSignal): void {
     this._control.move(move.virtualMachine, move.to, this._term, this._clock.now() + ORDER_TIMEOUT_MILLISECONDS, signal)
       .then(response => this._handleResponse(move, response.isRight() ? null : response.extract() as VirtualMachineError))
       .catch((error: Error) => this._handleResponse(move, error as VirtualMachineError))
   }
 
-  private _handleResponse (move: Move, error: VirtualMachineError | null): void {
+  private _handleResponse (move: VirtualMachineMove, error: VirtualMachineError | null): void {
     move.isInFlight = false
     this._log.emit('move ordered', { virtualMachine: move.virtualMachine, from: move.from, to: move.to, term: this._term, outcome: error?.kind ?? 'done', detail: error?.message ?? '' })
     if (!error) {
@@ -217,16 +230,18 @@
       return
     }
     if (error.kind === 'fenced') return this._onFenced(`VM ${move.virtualMachine}: ${error.message}`)
+    if (error.kind === 'unknown') move.isUncertain = true
+    const mayComeLate = move.isUncertain || (move.isInherited && this._clock.now() < move.startedAt + MOVE_TIMEOUT_MILLISECONDS)
+    if (!mayComeLate) this._locks.recordRefusal(move.virtualMachine)
     if (error.kind === 'missing') this._rejectedMoves.add(`${move.virtualMachine} ${move.to}`)
     if (error.kind === 'missing' || error.kind === 'busy') return this._finish(move, error.kind)
-    if (error.kind === 'unknown') move.isUncertain = true
-    if (move.isUncertain) return
+    if (mayComeLate) return
     // Nothing was done: the pool has the VM until the next attempt, for which it may not be the right one any more.
     this._postponedUntil.set(move.virtualMachine, this._clock.now() + RETRY_DELAY_MILLISECONDS)
     this._finish(move, error.kind)
   }
 
-  private _finish (move: Move, result: string): void {
+  private _finish (move: VirtualMachineMove, result: string): void {
     this._moves.delete(move.virtualMachine)
     this._locks.release(move.virtualMachine, 'move')
     this._log.emit('move finished', { virtualMachine: move.virtualMachine, to: move.to, how: result })
--- a/src/capacity/virtual-machine-cordons.ts
+++ b/src/capacity/virtual-machine-cordons.ts
@@ -7,7 +7,7 @@
 
 /** Cordon of one VM. */
 interface Cordon {
-  /** IDs of all workers that lists have shown on the VM since. */
+  /** IDs of all workers that the VM has had since. */
   readonly workers: Set<string>
   /** Epoch milliseconds since which the newest of them is cordoned. */
   since: number
@@ -21,18 +21,21 @@
 
   /** Cordons the worker that the newest list shows on a VM; called again in each round until the order to the VM is known to be carried out. Returns whether it has no tasks. */
   cordon (virtualMachine: string): boolean {
-    const cordon = this._cordons.get(virtualMachine) ?? { workers: new Set(), since: this._clock.now() }
-    this._cordons.set(virtualMachine, cordon)
     const worker = this._inventory.virtualMachineById(virtualMachine)?.worker ?? ''
-    if (worker === '') return true
-    if (!cordon.workers.has(worker)) {
-      cordon.workers.add(worker)
-      cordon.since = this._clock.now()
-      this._workers.cordon(worker)
-    }
+    this.cordonWorker(virtualMachine, worker)
     return (this._workers.find(worker)?.tasks.size ?? 0) === 0
   }
 
+  /** Cordons the worker that a VM had, empty for none, before a list shows whether it still has it. */
+  cordonWorker (virtualMachine: string, worker: string): void {
+    const cordon = this._cordons.get(virtualMachine) ?? { workers: new Set(), since: this._clock.now() }
+    this._cordons.set(virtualMachine, cordon)
+    if (worker === '' || cordon.workers.has(worker)) return
+    cordon.workers.add(worker)
+    cordon.since = this._clock.now()
+    this._workers.cordon(worker)
+  }
+
   /** Cordons as above. Returns whether the worker has no tasks and a list requested since then shows that it is still the VM's worker. */
   isEvacuated (virtualMachine: string): boolean {
     const hasNoTasks = this.cordon(virtualMachine)
--- a/src/capacity/virtual-machine-locks.ts
+++ b/src/capacity/virtual-machine-locks.ts
@@ -3,9 +3,11 @@
  */
 import type { FleetTime } from '../jobs/fleet-time.js'
 import type { JobTable } from '../jobs/job-table.js'
+import type { VirtualMachineOrder } from '../jobs/virtual-machine-order.js'
 import type { DecisionWriterTask } from '../scheduling/decision-writer-task.js'
 import type { Clock } from '../supervision/clock.js'
 import type { VirtualMachineCordons } from './virtual-machine-cordons.js'
+import type { VirtualMachineMove } from './virtual-machine-move.js'
 
 /** Kind of work that holds a VM's lock. */
 type LockHolder = 'wave' | 'move'
@@ -64,21 +66,49 @@
 
   /** Whether the newest order to a VM is this term's, or was sent long enough ago. */
   isOrderAllowed (virtualMachine: string): boolean {
-    const order = this._jobTable.newestOrder(virtualMachine)
+    const order = this._jobTable.orders.get(virtualMachine)
     if (!order || order.term === this._term) return true
     const gap = this._holderChangeMilliseconds + HOLDER_CHANGE_MARGIN_MILLISECONDS
-    // Either proof is enough: the predecessor's last contact, or the time that the order carries.
-    return this._clock.now() > Math.min(this._predecessorLastContactAt, this.fleetTime.latestLocal(order.orderedAt)) + gap
+    return this._clock.now() > this._sentBefore(order) + gap
+  }
+
+  /**
+   * Locks the VMs whose moves earlier owners have ordered and the platform may still carry out, and cordons the workers that they had: that may happen at any time until the VM has moved.
+   * Returns those moves.
+   */
+  inheritMoves (): VirtualMachineMove[] {
+    const now = this._clock.now()
+    const moves: VirtualMachineMove[] = []
+    for (const [virtualMachine, order] of this._jobTable.orders) {
+      const { term, pool, worker = '' } = order
+      if (pool === undefined || term === this._term || now >= this._sentBefore(order) + ORDER_DELAY_MILLISECONDS) continue
+      if (this._holders.has(virtualMachine) || !this.acquire(virtualMachine, 'move')) continue
+      this.cordons.cordonWorker(virtualMachine, worker)
+      moves.push({ virtualMachine, from: '', to: pool, startedAt: now, sentAt: 0, completedAt: 0, isInherited: true, isInFlight: false, isUncertain: false })
+    }
+    return moves
   }
 
   /**
    * Writes an order to the journal, then calls `send`, or `skip` if the process was held up so long meanwhile that another may own the journal
    * by now: not every platform refuses orders of an earlier term.
+   *
+   * @param move what the next owner has to know of a move; empty for maintenance, whose wave has a record of its own.
    */
-  recordOrder (virtualMachine: string, send: () => void, skip: () => void): void {
-    this._writer.append({ kind: 'order', virtualMachine, term: this._term, at: this.fleetTime.now() }, () => {
+  recordOrder (virtualMachine: string, move: Pick<VirtualMachineOrder, 'pool' | 'worker'>, send: () => void, skip: () => void): void {
+    this._writer.append({ kind: 'order', virtualMachine, term: this._term, at: this.fleetTime.now(), ...move }, () => {
       if (this._writer.isTermConfirmedWithin(MAXIMUM_CONFIRMATION_AGE_MILLISECONDS)) send()
       else skip()
     })
   }
+
+  /** Writes that the newest order to a VM has been refused without any effect, so that no later owner expects it to be carried out. */
+  recordRefusal (virtualMachine: string): void {
+    this._writer.append({ kind: 'order', virtualMachine, term: this._term, at: this.fleetTime.now() })
+  }
+
+  /** Epoch milliseconds by which an order of an earlier owner had been sent. Either proof is enough: the predecessor's last contact, or the time that the order carries. */
+  private _sentBefore ({ at }: VirtualMachineOrder): number {
+    return Math.min(this._predecessorLastContactAt, this.fleetTime.latestLocal(at))
+  }
 }
--- a/src/capacity/wave-task.ts
+++ b/src/capacity/wave-task.ts
@@ -124,7 +124,7 @@
     if (!this._locks.isOrderAllowed(id)) return
     order.isInFlight = true
     order.sentAt = now
-    this._locks.recordOrder(id, () => this._send(wave, id, order, signal), () => {
+    this._locks.recordOrder(id, {}, () => this._send(wave, id, order, signal), () => {
       order.isInFlight = false
       this._log.emit('order postponed', { virtualMachine: id, term: this._term, cause: 'the store has not confirmed the term recently' })
     })
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -11,6 +11,7 @@
 import type { LeaseRenewals } from './lease-renewals.js'
 import { PendingJobs } from './pending-jobs.js'
 import type { Term } from './term.js'
+import type { VirtualMachineOrder } from './virtual-machine-order.js'
 import type { WaveProgress } from './wave-progress.js'
 
 /** Limit on cancellations that are kept until their submission has been read. */
@@ -38,7 +39,7 @@
   /** Decisions on jobs whose submission hasn't been read yet, by job: the two are in topics without a common order. */
   private readonly _earlyDecisions = new Map<string, Array<(job: JobView) => boolean>>()
   private readonly _waves = new Map<number, WaveProgress>()
-  private readonly _orders = new Map<string, { readonly term: number, readonly orderedAt: number }>()
+  private readonly _orders = new Map<string, VirtualMachineOrder>()
   private readonly _leaseBounds = new Map<string, LeaseBound>()
   private _ownerRecordCount = 0
   /** The last holder of each process that is known to have ended, with the epoch milliseconds at which this process read of it. */
@@ -89,9 +90,9 @@
     return this._waves.get(number) ?? null
   }
 
-  /** Returns the term and fleet time of the newest order to a VM, or null if there was none. */
-  newestOrder (virtualMachine: string): { readonly term: number, readonly orderedAt: number } | null {
-    return this._orders.get(virtualMachine) ?? null
+  /** The newest order to each VM, by its ID. */
+  get orders (): ReadonlyMap<string, VirtualMachineOrder> {
+    return this._orders
   }
 
   /** Returns the epoch milliseconds by which a holder has ended, according to its process's next incarnation; Infinity if it isn't known to have. */
@@ -159,7 +160,7 @@
         this._waves.set(record.progress.wave, record.progress)
         return true
       case 'order':
-        this._orders.set(record.virtualMachine, { term: record.term, orderedAt: record.at })
+        this._orders.set(record.virtualMachine, record)
         return true
       case 'lease-bound':
         this._applyLeaseBound(record)
--- a/src/jobs/journal-record.ts
+++ b/src/jobs/journal-record.ts
@@ -5,6 +5,7 @@
 import { JobSubmission } from './job-submission.js'
 import { LeaseRenewals } from './lease-renewals.js'
 import { TaskProgress } from './task-progress.js'
+import { VirtualMachineOrder } from './virtual-machine-order.js'
 import { WaveProgress } from './wave-progress.js'
 
 /**
@@ -43,7 +44,7 @@
   z.object({ kind: z.literal('holder-end'), process: z.string(), holder: z.string() }),
   z.object({ kind: z.literal('wave'), progress: WaveProgress }),
   /** An order is about to be sent to a VM; the owner of another term sends it none until some time after `at` (fleet time). */
-  z.object({ kind: z.literal('order'), virtualMachine: z.string(), term: z.number().int(), at: z.number() }),
+  z.object({ kind: z.literal('order'), virtualMachine: z.string(), ...VirtualMachineOrder.shape }),
   /**
    * The owner of the term extends no lease of a worker that it can't reach: those of this incarnation have expired by `expiresAt`. Both times are in fleet time; `at` is that of the decision.
    * The worker's address, and whether it refuses connections, tell a later owner that the next worker there is its successor, unless this owner has seen it already; older versions don't write them.
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -9,6 +9,7 @@
 import type { RunCrash } from '../jobs/run-crash.js'
 import type { TaskProgress } from '../jobs/task-progress.js'
 import { UnprovenEnd } from '../jobs/unproven-end.js'
+import { VirtualMachineOrder } from '../jobs/virtual-machine-order.js'
 import { WaveProgress } from '../jobs/wave-progress.js'
 import { listOf } from '../schemas/list-of.js'
 import type { KeyedRecord } from './keyed-record.js'
@@ -44,7 +45,6 @@
 const HolderEndValue = z.object({ holder: z.string() })
 
 const OutcomeValue = z.object({ queue: z.string(), state: z.enum(['completed', 'failed', 'cancelled']) })
-const OrderValue = z.object({ term: z.number(), at: z.number() })
 const LeaseBoundValue = z.object({ incarnation: z.number(), term: z.number(), at: z.number(), expiresAt: z.number(), address: z.string().optional(), refusesConnections: z.boolean().optional(), hasSuccessor: z.boolean().optional() })
 
 const TOMBSTONE = Buffer.alloc(0)
@@ -65,7 +65,7 @@
       case 'term': return [this._jsonRecord('term', this._termValue(record))]
       case 'holder-end': return [this._jsonRecord(`ended/${record.process}`, { holder: record.holder })]
       case 'wave': return [this._jsonRecord(`wave/${record.progress.wave}`, record.progress)]
-      case 'order': return [this._jsonRecord(`order/${record.virtualMachine}`, { term: record.term, at: record.at })]
+      case 'order': return [this._jsonRecord(`order/${record.virtualMachine}`, this._orderValue(record))]
       case 'lease-bound': return [this._jsonRecord(`lease/${record.worker}`, this._leaseBoundValue(record))]
       case 'lease-bound-withdrawal': return [{ key: `lease/${record.worker}`, value: TOMBSTONE }]
       case 'outcome': return this._encodeOutcome(record)
@@ -88,7 +88,7 @@
       case 'term': return parseJson(TermValue, value).toMaybe().map(term => ({ kind: 'term', ...term }))
       case 'ended': return parseJson(HolderEndValue, value).toMaybe().map(({ holder }) => ({ kind: 'holder-end', process: id, holder }))
       case 'wave': return parseJson(WaveProgress, value).toMaybe().filter(progress => String(progress.wave) === id).map(progress => ({ kind: 'wave', progress }))
-      case 'order': return parseJson(OrderValue, value).toMaybe().map(order => ({ kind: 'order', virtualMachine: id, ...order }))
+      case 'order': return parseJson(VirtualMachineOrder, value).toMaybe().map(order => ({ kind: 'order', virtualMachine: id, ...order }))
       case 'lease': return parseJson(LeaseBoundValue, value).toMaybe().map(bound => ({ kind: 'lease-bound', worker: id, ...bound }))
       default: return Nothing
     }
@@ -105,6 +105,10 @@
     return value
   }
 
+  private static _orderValue ({ kind, virtualMachine, ...value }: Extract<JournalRecord, { kind: 'order' }>): VirtualMachineOrder {
+    return value
+  }
+
   private static _leaseBoundValue ({ kind, worker, ...value }: Extract<JournalRecord, { kind: 'lease-bound' }>): z.infer<typeof LeaseBoundValue> {
     return value
   }
--- a/tests/orders-to-busy-machines.test.ts
+++ b/tests/orders-to-busy-machines.test.ts
@@ -12,9 +12,11 @@
  * Starts a fleet of two pools and a standby pool.
  *
  * @param lateMilliseconds delay of the orders to VMs, which get no response; 0 for none.
+ * @param refusesOrders whether the platform refuses all orders to VMs.
  */
-async function startFleet (pools: readonly string[], lateMilliseconds = 0): Promise<EmulatedFleet> {
+async function startFleet (pools: readonly string[], lateMilliseconds = 0, refusesOrders = false): Promise<EmulatedFleet> {
   const fleet = new EmulatedFleet(1)
+  fleet.emulator.virtualMachines.refusesOrders = refusesOrders
   const { virtualMachines } = fleet.emulator.faults
   if (lateMilliseconds > 0) virtualMachines.lateOrders = 100
   virtualMachines.lateOrderMilliseconds = lateMilliseconds
@@ -91,6 +93,48 @@
   expect(killedRuns(fleet)).toEqual([])
 })
 
+// Guards against VMs that wait for an order of an earlier owner for longer than another owner has to wait with its own.
+test.each([5_000, 12_000])('tasks that need the VMs of an order that comes %i ms late run within eight seconds of the loss of its owner', async late => {
+  const fleet = await startFleet(['work', 'work', 'work', 'mail'], late)
+  const { faults } = fleet.emulator
+  await advanceUntil(fleet, () => fleet.emulator.store.partition('keyed.decisions').newestRecords().some(({ key }) => key.startsWith('order/')))
+  await fleet.clock.advance(20)
+  const lostAt = fleet.clock.now()
+  fleet.kill(fleet.owner())
+  faults.virtualMachines.lateOrders = 0
+  submit(fleet, [...fleet.nodes.keys()][0] ?? '', 'aaaa', 3)
+  await fleet.clock.advance(20_000)
+  const startedAt = [0, 1, 2].map(index => Math.min(...fleet.starts(`aaaa.0.0.${index}`).map(({ at }) => at)) - lostAt)
+  expect(Math.max(...startedAt)).toBeLessThan(8_000)
+  expect(fleet.violations()).toEqual([])
+})
+
+// Guards against VMs that the next owner keeps free for an order which the platform has refused.
+test('tasks that need VMs whose moves the platform has refused run as soon as there is another owner', async () => {
+  const fleet = await startFleet(['work', 'work', 'work', 'mail'], 0, true)
+  await advanceUntil(fleet, () => isOrdered(fleet, 'm-1') || isOrdered(fleet, 'm-0'))
+  await fleet.clock.advance(100)
+  const lostAt = fleet.clock.now()
+  fleet.kill(fleet.owner())
+  submit(fleet, [...fleet.nodes.keys()][0] ?? '', 'aaaa', 3)
+  await fleet.clock.advance(20_000)
+  const startedAt = [0, 1, 2].map(index => Math.min(...fleet.starts(`aaaa.0.0.${index}`).map(({ at }) => at)) - lostAt)
+  expect(Math.max(...startedAt)).toBeLessThan(3_000)
+})
+
+// Guards against VMs that stay without tasks because no list shows what has become of their order.
+test('tasks that need the VMs of an order without a response run while there are no lists of VMs', async () => {
+  const fleet = await startFleet(['work', 'work', 'work', 'mail'], 30_000)
+  const { faults } = fleet.emulator
+  await advanceUntil(fleet, () => isOrdered(fleet, 'm-1') || isOrdered(fleet, 'm-0'))
+  await fleet.clock.advance(20)
+  faults.virtualMachines.isListAway = true
+  fleet.kill(fleet.owner())
+  submit(fleet, [...fleet.nodes.keys()][0] ?? '', 'aaaa', 3)
+  await fleet.clock.advance(20_000)
+  expect([0, 1, 2].filter(index => fleet.starts(`aaaa.0.0.${index}`).length === 0)).toEqual([])
+})
+
 /** Lets a worker be forgotten and listed again. */
 async function forget (fleet: EmulatedFleet, worker: EmulatedWorker): Promise<void> {
   fleet.emulator.registry.remove(worker)
