Log when each process will claim a vacant term, and the resources it lacks

Observability: `claiming term` told neither the resources that the process lacks nor why others waited, so that a takeover by a small VM couldn't be explained from the logs.

No logic changes.

--- a/src/ownership/ownership-task.ts
+++ b/src/ownership/ownership-task.ts
@@ -78,9 +78,12 @@
       const now = this._clock.now()
       const cause = this._vacancyCause(now)
       if (cause === null) claimAt = 0
-      else if (claimAt === 0) claimAt = Math.max(now + this._claimDelay(now, cause), this._othersResumedAt)
+      else if (claimAt === 0) {
+        claimAt = Math.max(now + this._claimDelay(now, cause), this._othersResumedAt)
+        this._log.emit('journal has no owner', { ...this._vacancyFields(cause), claimAt: Math.round(claimAt) })
+      }
       if (cause !== null && now >= claimAt) {
-        this._log.emit('claiming term', { cause, term: this._decisions.jobTable.term.number, holder: this._decisions.jobTable.term.holder, freshAt: Math.round(this._decisions.freshAt) })
+        this._log.emit('claiming term', this._vacancyFields(cause))
         const term = this._termSupervisor.start(this._createTerm())
         const stop = (): void => { term.stop().catch(() => {}) }
         signal.addEventListener('abort', stop, { once: true })
@@ -110,6 +113,12 @@
     return freshAt > Math.max(this._ownerLastContactAt, this._viewResumedAt) + OWNER_TIMEOUT_MILLISECONDS ? 'silent' : null
   }
 
+  /** Fields of log lines that tell why this process claims a term when it does. */
+  private _vacancyFields (cause: string): Readonly<Record<string, string | number>> {
+    const { jobTable: { term }, freshAt } = this._decisions
+    return { cause, term: term.number, holder: term.holder, freshAt: Math.round(freshAt), viewResumedAt: Math.round(this._viewResumedAt), resourceShortfall: Number(this._resourceShortfall.toFixed(2)) }
+  }
+
   /** Epoch milliseconds by which processes on larger VMs, whose views may have resumed later than this one's, claim a term that is vacant since then. */
   private get _othersResumedAt (): number {
     return this._viewResumedAt + OWNER_TIMEOUT_MILLISECONDS + this._resourceShortfall * RESUMPTION_SPREAD_MILLISECONDS
