Keep a run until the present incarnation of its worker has reported

Cause: a start that was sent to one incarnation may be accepted by the next one, which the owner learns only from that one's first report. The next owner also did if the registry was behind the row.

Change: the row is written when the incarnation changes. A new owner keeps each placed task on its worker in the incarnation that it knows, and an owner gives up at once only the runs that the ended incarnation had reported to it; all others stay until the present incarnation has reported, and so has seen this owner's token, or its lease has expired. Restoring placements has a class of its own.

--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -54,6 +54,7 @@
 import { UrgencyPlacementPolicy } from '../scheduling/urgency-placement-policy.js'
 import { WorkerRegistryFollowerTask } from '../scheduling/worker-registry-follower-task.js'
 import { InheritedLeases } from '../scheduling/inherited-leases.js'
+import { InheritedPlacements } from '../scheduling/inherited-placements.js'
 import { LeaseBounds } from '../scheduling/lease-bounds.js'
 import { LostWorkerDetector } from '../scheduling/lost-worker-detector.js'
 import { LeaseRenewalPermit } from '../scheduling/lease-renewal-permit.js'
@@ -120,7 +121,7 @@
     const workerTable: WorkerTable = new WorkerTable(configuration, new InheritedLeases(leaseMilliseconds, earlierOwners, clock, log), earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
-    const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, unsettledStarts, this._fleetTime, clock, metrics, log)
+    const schedule: FleetSchedule = new FleetSchedule(configuration, writer, dispatcher, scheduledJobs, workerTable, reservations, unsettledStarts, new InheritedPlacements(workerTable, reservations, unsettledStarts, clock), this._fleetTime, clock, metrics, log)
     const outcomes = new StartOutcomeHandler(schedule, scheduledJobs, workerTable, clock, metrics, log)
     const leaseBounds = new LeaseBounds(jobTable, writer, term, this._fleetTime, log)
     const losses = new WorkerLossHandler(schedule, scheduledJobs, leaseBounds, new RecentStartAttributionPolicy(), () => workerRegistry.freshAt, this._fleetTime, clock, metrics, log)
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -12,6 +12,7 @@
 import { Notifier } from '../supervision/notifier.js'
 import type { DecisionWriterTask } from './decision-writer-task.js'
 import type { FleetWorker } from './fleet-worker.js'
+import type { InheritedPlacements } from './inherited-placements.js'
 import type { ScheduledJobTable } from './scheduled-job-table.js'
 import { ScheduledJob } from './scheduled-job.js'
 import type { ScheduledStep } from './scheduled-step.js'
@@ -37,7 +38,7 @@
     private readonly _configuration: ConfigurationFollowerTask,
     private readonly _writer: DecisionWriterTask,
     private readonly _dispatcher: RunOrderDispatcher,
-    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _unsettledStarts: UnsettledStarts, private readonly _fleetTime: FleetTime,
+    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _unsettledStarts: UnsettledStarts, private readonly _inheritedPlacements: InheritedPlacements, private readonly _fleetTime: FleetTime,
     private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {
     super()
@@ -51,7 +52,7 @@
   override jobSubmitted (view: JobView): void {
     const job = new ScheduledJob(view, this._fleetTime)
     this._jobs.add(job)
-    for (const step of job.steps) for (const task of step.tasks) if (task.phase === 'placed') this._restorePlacement(task)
+    for (const step of job.steps) for (const task of step.tasks) if (task.phase === 'placed' && this._inheritedPlacements.restore(task)) this.recordCrash(task, { run: task.run, role: 'unconfirmed' })
     if (job.isFinished) this._finishJob(job)
     else if (view.isCancellationRequested) this.jobCancellationRequested(view)
     this.markChanged()
@@ -172,25 +173,6 @@
     this.changed.notify()
   }
 
-  /** Restores a task placed under an earlier term. Either its worker reports the run or the lease expires. */
-  private _restorePlacement (task: ScheduledTask): void {
-    this._unsettledStarts.inherit(task)
-    const worker = this._workers.findOrAddPlaceholder(task)
-    const { incarnation } = worker.entry
-    const isRestarted = incarnation > task.incarnation
-    // Until this owner has called the present incarnation, a start on its way to the previous one may still begin there.
-    if (incarnation === task.incarnation || (isRestarted && !task.isStarted)) this._inheritRun(task, worker)
-    else this.requeue(task)
-    if (isRestarted) this.recordCrash(task, { run: task.run, role: 'unconfirmed' })
-  }
-
-  private _inheritRun (task: ScheduledTask, worker: FleetWorker): void {
-    if (worker.entry.incarnation !== task.incarnation) task.placedAtClock = 0
-    task.incarnation = worker.entry.incarnation
-    task.runState = 'inherited'
-    this._reservations.reserve(task, worker)
-  }
-
   private _startRun (task: ScheduledTask, worker: FleetWorker, run: number, placedAt: number): void {
     if (task.run !== run || task.worker !== worker || task.runState !== 'intended') return
     const now = this._clock.now()
--- /dev/null
+++ b/src/scheduling/inherited-placements.ts
@@ -0,0 +1,31 @@
+/**
+ * The placements of earlier owners, as a new owner takes them over.
+ */
+import type { Clock } from '../supervision/clock.js'
+import type { ResourceReservations } from './resource-reservations.js'
+import type { ScheduledTask } from './scheduled-task.js'
+import type { UnsettledStarts } from './unsettled-starts.js'
+import type { WorkerTable } from './worker-table.js'
+
+/** Keeps each task on its worker until that reports whether the run is there, or is lost. */
+export class InheritedPlacements {
+  constructor (private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _unsettledStarts: UnsettledStarts, private readonly _clock: Clock) {}
+
+  /**
+   * Restores the placement of a task. A later incarnation of its worker may have received the start, or may do so until this owner has called it, whatever the journal says of the earlier one.
+   *
+   * @returns whether the registry shows a later incarnation than the journal.
+   */
+  restore (task: ScheduledTask): boolean {
+    this._unsettledStarts.inherit(task)
+    const worker = this._workers.findOrAddPlaceholder(task)
+    const isRestarted = worker.entry.incarnation > task.incarnation
+    // A worker registers some time after its start, when its reports may already be in the journal.
+    if (worker.entry.incarnation < task.incarnation) worker.startIncarnation(task.incarnation, this._clock.now(), this._workers.unknownLeasesExpireAt)
+    if (isRestarted) task.placedAtClock = 0
+    task.incarnation = worker.entry.incarnation
+    task.runState = 'inherited'
+    this._reservations.reserve(task, worker)
+    return isRestarted
+  }
+}
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -53,6 +53,8 @@
   placedAtClock: number
   /** Whether the start of the current run is no longer on its way: its worker has accepted it or has reported the run, or the journal says so. */
   isStarted: boolean
+  /** Whether the present incarnation of the worker has reported the current run to this owner, so that the run ends with it. */
+  isReported = false
   /** Number of the current placement; 0 if an older version wrote it, or while the task has not been placed. */
   placementNumber: number
   /** Time for which the current run had been active when this owner first saw it, in milliseconds. */
@@ -146,6 +148,7 @@
     this.incarnation = worker.entry.incarnation
     this.placedAtClock = this.step.definition.isLasting ? worker.clockEstimate.readLatest(now) : 0
     this.isStarted = false
+    this.isReported = false
     this.runState = 'intended'
     this.confirmedAt = Infinity
     this.startOrderedAt = 0
@@ -160,6 +163,7 @@
   /** Records that the worker reports the current run. For how long it has been active if another owner started it, the worker's clock tells. */
   recordReported (now: number, workerClock: number): void {
     this.hasBegun = true
+    this.isReported = true
     if (this.runState === 'inherited' || this.runState === 'starting') this.runState = 'running'
     this.confirmedAt = Math.min(this.confirmedAt, now)
     if (this.startOrderedAt !== 0) return
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -153,8 +153,8 @@
     // Another owner may have started a run on the new incarnation; its completion may be in a part of the report that follows.
     const mayFollow = (task: ScheduledTask): boolean => task.runState === 'inherited' && report?.isComplete === false
     const survivors = [...worker.tasks].filter(task => mayFollow(task) || reported.some(other => other.task === task.name && other.run === task.run))
-    // Until this owner has called the new incarnation, a start on its way to the previous one may still begin there.
-    const ended = report ? [...worker.tasks].filter(({ runState }) => runState !== 'starting' && runState !== 'settling' && runState !== 'intended') : worker.startedTasks
+    // Until this owner has called the new incarnation, a start that was sent to the previous one may still begin there, or may have.
+    const ended = report ? [...worker.tasks].filter(({ runState }) => runState !== 'starting' && runState !== 'settling' && runState !== 'intended') : [...worker.tasks].filter(({ isReported }) => isReported)
     const lost = ended.filter(task => !survivors.includes(task))
     this._losses.incarnationEnded(worker, 'worker restarted', lost, survivors)
     worker.startIncarnation(incarnation, this._clock.now(), this._workers.unknownLeasesExpireAt)
@@ -162,6 +162,8 @@
       if (task.runState === 'intended') continue
       task.incarnation = incarnation
       task.placedAtClock = 0
+      task.isReported = false
+      this._schedule.writeProgress(task)
     }
     this._schedule.markChanged()
   }
