Write which starts are settled with the release, and as many exceptions as there may be

Cause: the release of a term was written without the watermark if nothing else was pending; and 256 starts may be under way, and as many without an answer, but 128 exceptions held the watermark back.

Change: the watermark goes before the release, and has up to 512 exceptions.

--- a/src/scheduling/decision-writer-task.ts
+++ b/src/scheduling/decision-writer-task.ts
@@ -127,7 +127,7 @@
   override async run (signal: AbortSignal): Promise<void> {
     let isReleased = false
     while (!signal.aborted || !isReleased) {
-      const batch = this._pending.take(this._leadingRecords())
+      const batch = this._pending.take(this._leadingRecords(signal.aborted))
       isReleased = signal.aborted && batch.isLast
       const records = [...batch.records, ...batch.isLast ? this._closingRecords(isReleased) : []]
       this._isWriting = true
@@ -143,14 +143,18 @@
     }
   }
 
-  /** Returns the record that renews the term if it is due, and what has changed about starts if anything is written. They go first, so that no amount of decisions delays them. */
-  private _leadingRecords (): JournalRecord[] {
+  /**
+   * Returns the record that renews the term if it is due, and what has changed about starts if anything is written. They go first, so that no amount of decisions delays them.
+   *
+   * @param isLast whether the release of the term follows.
+   */
+  private _leadingRecords (isLast: boolean): JournalRecord[] {
     const records: JournalRecord[] = []
     if (this._clock.now() >= this._renewedAt + TERM_RENEWAL_INTERVAL_MILLISECONDS) {
       this._renewedAt = this._clock.now()
       records.push(this._termRecord(false, this._renewedAt))
     }
-    if (records.length === 0 && this._pending.isEmpty && !this._areSettledStartsDue) return records
+    if (records.length === 0 && this._pending.isEmpty && !this._areSettledStartsDue && !isLast) return records
     this._areSettledStartsDue = false
     const starts = this._unsettledStarts.takeChange()
     if (starts) records.push({ kind: 'settled-starts', starts })
--- a/src/scheduling/unsettled-starts.ts
+++ b/src/scheduling/unsettled-starts.ts
@@ -10,8 +10,8 @@
  */
 const MAXIMUM_PENDING_STARTS = 256
 
-/** Limit on the exceptions in a record, which is written with most appends; starts beyond it hold the watermark back. */
-const MAXIMUM_EXCEPTIONS = 128
+/** Limit on the exceptions in a record: those starts, and as many that got no response. Starts beyond it hold the watermark back. */
+const MAXIMUM_EXCEPTIONS = 2 * MAXIMUM_PENDING_STARTS
 
 /**
  * Numbers the placements of all owners, bounds how many starts are under way at a time, and tells the owners after this one which starts are no longer on their way: they may conclude from the
--- a/tests/unsettled-starts.test.ts
+++ b/tests/unsettled-starts.test.ts
@@ -52,10 +52,10 @@
 test('the watermark stays before the first start that is no exception when there are too many for a record', () => {
   const starts = new UnsettledStarts(NOTHING_KNOWN)
   starts.completeInheritance()
-  const tasks = place(starts, 200)
-  expect(starts.takeChange()).toEqual({ before: 129, except: tasks.slice(0, 128).map(({ placementNumber }) => placementNumber) })
+  const tasks = place(starts, 600)
+  expect(starts.takeChange()).toEqual({ before: 513, except: tasks.slice(0, 512).map(({ placementNumber }) => placementNumber) })
   settle(tasks.slice(0, 100))
-  expect(starts.takeChange()).toEqual({ before: 201, except: tasks.slice(100).map(({ placementNumber }) => placementNumber) })
+  expect(starts.takeChange()).toEqual({ before: 601, except: tasks.slice(100).map(({ placementNumber }) => placementNumber) })
 })
 
 test('a new owner takes earlier starts for settled only below the watermark, if they are no exception and have a number', () => {
