--- a/tests/data-path-policies.test.ts
+++ b/tests/data-path-policies.test.ts
@@ -7,6 +7,7 @@
 import { ConsecutiveFailureBreaker } from '../src/endpoints/consecutive-failure-breaker.js'
 import type { EndpointCandidate } from '../src/endpoints/endpoint-candidate.js'
 import { PowerOfTwoChooser } from '../src/endpoints/power-of-two-chooser.js'
+import { AttemptHistory } from '../src/entry/attempt-history.js'
 import { BudgetedRetryPolicy } from '../src/entry/budgeted-retry-policy.js'
 import { DemandGrantPolicy } from '../src/entry/demand-grant-policy.js'
 import { DemandSlotDivision } from '../src/entry/demand-slot-division.js'
@@ -207,6 +208,18 @@
   })
 })
 
+describe('AttemptHistory', () => {
+  it.each([[100, 20], [1_000, 100], [15_000, 1_500]])('leaves enough of %i ms for the last attempt to end before the deadline (%i ms)', async (total, reserve) => {
+    const clock = new FakeClock()
+    const history = new AttemptHistory(clock, clock.now() + total)
+    const { signal } = new AbortController()
+    await clock.advance(total - reserve - 1)
+    expect(history.hasTimeForAttempt(signal)).toBe(true)
+    await clock.advance(1)
+    expect(history.hasTimeForAttempt(signal)).toBe(false)
+  })
+})
+
 describe('PowerOfTwoChooser', () => {
   const candidate = (virtualMachine: string, changes: Partial<EndpointCandidate> = {}): EndpointCandidate => (
     { virtualMachine, availabilityZone: 'a', slots: 8, inFlight: 0, reportedRunning: 0, latencyMilliseconds: 0, isEjected: false, ...changes })
