--- a/tests/entry-control-integration.test.ts
+++ b/tests/entry-control-integration.test.ts
@@ -2,7 +2,7 @@
  * Tests of several processes over loopback: concurrent requests, log outages and processes that can't reach the platform.
  */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { request } from 'undici'
+import { errors, request } from 'undici'
 import { LoopbackFleet } from './support/loopback-fleet.js'
 
 let fleet: LoopbackFleet
@@ -28,11 +28,22 @@
 
 async function send (zone: string, mark: string, options: { method?: 'PUT' | 'POST', headers?: Record<string, string> } = {}) {
   const { port } = fleet.processes.get(`entry-${zone}`)?.address ?? { port: 0 }
-  const response = await request(`http://127.0.0.1:${port}/queues/work/x`, {
-    method: options.method ?? 'PUT', headers: { authorization: `Bearer ${key}`, 'x-mark': mark, ...options.headers }, body: mark
-  })
-  const text = await response.body.text()
-  return { status: response.statusCode, text, outcome: response.statusCode === 200 ? null : JSON.parse(text).outcome as string }
+  const sentAt = Date.now()
+  try {
+    const response = await request(`http://127.0.0.1:${port}/queues/work/x`, {
+      method: options.method ?? 'PUT', headers: { authorization: `Bearer ${key}`, 'x-mark': mark, ...options.headers }, body: mark
+    })
+    const text = await response.body.text()
+    return { status: response.statusCode, text, outcome: response.statusCode === 200 ? null : JSON.parse(text).outcome as string }
+  } catch (error) {
+    throw new Error(`${mark} to entry-${zone} failed after ${Date.now() - sentAt} ms, ${describeSocket(error)}`, { cause: error })
+  }
+}
+
+/** Describes the connection of a failed request: one that has read something before was reused. */
+function describeSocket (error: unknown): string {
+  const socket = error instanceof errors.SocketError ? error.socket : null
+  return socket ? `on port ${socket.localPort}, ${socket.bytesWritten} bytes written and ${socket.bytesRead} read: ${String(error)}` : String(error)
 }
 
 function countRuns (mark: string): number {
