Play series with tasks that don't last and starts on their way

Cause: all tasks of the series lasted, and no start was on its way when an owner was lost. Waits of other tasks for their leases, and starts that are given up too soon, didn't show.

Change: a fleet 'mixed' (draw-mixed-series.ts) with as many tasks that don't last, jobs that are submitted all the time and starts that reach the next incarnations of workers that come back as they arrive. Its rows of the table are split by kind of task. Draws of the other fleets don't change.

--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -128,9 +128,14 @@
   }
 
   /** Submits a job to a process. */
-  submit (node: string, id: string, steps: readonly Partial<StepDefinition>[], options: { occurrences?: number, startAt?: number, intervalMilliseconds?: number } = {}, key = KEY, pathPrefix = '/q/'): Promise<JobResponse> {
+  submit (...submission: Parameters<EmulatedFleet['send']>): Promise<JobResponse> {
+    return this._awaitResponse(this.send(...submission))
+  }
+
+  /** Submits a job to a process without advancing time. */
+  send (node: string, id: string, steps: readonly Partial<StepDefinition>[], options: { occurrences?: number, startAt?: number, intervalMilliseconds?: number } = {}, key = KEY, pathPrefix = '/q/'): Promise<JobResponse> {
     const job = { specification: 'text', steps: steps.map(step => ({ ...PLAIN_STEP, ...step })), occurrences: 1, startAt: 0, intervalMilliseconds: 0, ...options }
-    return this._awaitResponse(this._service(node).submit({ ...this._createRequest(node, id), key, path: `${pathPrefix}${id}` }, id, job))
+    return this._service(node).submit({ ...this._createRequest(node, id), key, path: `${pathPrefix}${id}` }, id, job)
   }
 
   /** Queries the state of a job at a process. */
--- a/tests/support/lease-series/disturbed-fleet.ts
+++ b/tests/support/lease-series/disturbed-fleet.ts
@@ -74,8 +74,12 @@
     return new DisturbedFleet(fleet, processes)
   }
 
-  /** Starts a fleet of several pools with a lasting task on each worker, and makes room for more of them once they run. */
-  static async createFilled (seed: number, processes: readonly string[], machines: readonly PlannedMachine[]): Promise<DisturbedFleet> {
+  /**
+   * Starts a fleet of several pools with a lasting task on each worker, and makes room for more of them once they run.
+   *
+   * @param hasOtherTasks whether as many tasks that don't last are started then.
+   */
+  static async createFilled (seed: number, processes: readonly string[], machines: readonly PlannedMachine[], hasOtherTasks = false): Promise<DisturbedFleet> {
     const fleet = new EmulatedFleet(seed)
     const pools = new DisturbedPools(fleet, machines)
     for (const name of processes) fleet.start(name)
@@ -84,6 +88,10 @@
     await fleet.clock.advance(STEADY_MILLISECONDS)
     pools.makeRoom()
     await fleet.clock.advance(STEADY_MILLISECONDS)
+    if (hasOtherTasks) {
+      await pools.submitOtherTasks(processes[0] ?? '')
+      await fleet.clock.advance(STEADY_MILLISECONDS)
+    }
     return new DisturbedFleet(fleet, processes, pools.workers)
   }
 
@@ -139,11 +147,11 @@
       `${task}: run on ${worker} ${result}, next run after ${(nextStartAt - endedAt) / 1_000} s, allowed ${(latestStartAt - endedAt) / 1_000} s`)
   }
 
-  /** Returns the gaps between the runs of each task. */
+  /** Returns the gaps between the runs of each task that isn't done. */
   gaps (): RunGap[] {
     const { workerIncarnations } = this.fleet.emulator
     for (const worker of workerIncarnations) worker.completeDueRuns()
-    return workerIncarnations.flatMap(({ id, completions }) => completions.map(({ task, run, result, completedAt }) => {
+    return workerIncarnations.flatMap(({ id, completions }) => completions.filter(({ result }) => result !== 'done').map(({ task, run, result, completedAt }) => {
       const laterStarts = this.fleet.starts(task).filter(start => start.run > run).map(({ at }) => at)
       return { task, worker: id, result, endedAt: completedAt, nextStartAt: Math.min(Infinity, ...laterStarts), latestStartAt: this.calm.latestStart(completedAt) }
     }))
--- a/tests/support/lease-series/draw-gone-series.ts
+++ b/tests/support/lease-series/draw-gone-series.ts
@@ -39,8 +39,9 @@
  * Draws the plan of a seed.
  *
  * @param lag whether lists are at most as old as the platform allows for.
+ * @param createFleet creates the fleet of the VMs that are drawn.
  */
-export function drawGoneSeries (seed: number, silences = GONE_SILENCES, ownerEnds = GONE_OWNER_ENDS, lag: 'allowed' | 'greater' = 'allowed'): SeriesPlan {
+export function drawGoneSeries (seed: number, silences = GONE_SILENCES, ownerEnds = GONE_OWNER_ENDS, lag: 'allowed' | 'greater' = 'allowed', createFleet?: Parameters<typeof drawWideSeries>[4]): SeriesPlan {
   const draw = new Draw(new SeededRandomSource(GONE_SEED + seed))
   const age = draw.within(lag === 'allowed' ? ALLOWED_AGE_MILLISECONDS : GREATER_AGE_MILLISECONDS)
   const listMilliseconds = draw.within(LIST_MILLISECONDS)
@@ -48,7 +49,7 @@
   const failures = draw.items(CONTROL_FAILURES, draw.within([0, 2])).map(kind => draw.disturbance([kind], draw.within(BEGIN_MILLISECONDS), FAILURE_MILLISECONDS))
   const restartsAfter = draw.within(RESTART_MILLISECONDS)
   const restartsAll = draw.within([1, RESTART_OF_ALL_EVERY]) === 1
-  const plan = drawWideSeries(seed, silences, restartsAll ? OWNER_ENDS.filter(({ name }) => name === 'all killed') : ownerEnds, EXTENTS)
+  const plan = drawWideSeries(seed, silences, restartsAll ? OWNER_ENDS.filter(({ name }) => name === 'all killed') : ownerEnds, EXTENTS, createFleet)
   const restart = { kind: new RestartOfWorkers(), at: Math.max(0, plan.ownerEnd.at + restartsAfter), until: Infinity }
   return { ...plan, others: [lists, ...failures, ...restartsAll ? [restart] : []] }
 }
--- a/tests/support/lease-series/draw-wide-series.ts
+++ b/tests/support/lease-series/draw-wide-series.ts
@@ -7,6 +7,7 @@
 import { OWNER_ENDS } from './owner-ends.js'
 import type { PlannedMachine } from './planned-machine.js'
 import { PlannedWorkers } from './planned-workers.js'
+import type { SeriesFleet } from './series-fleet.js'
 import type { SeriesPlan } from './series-plan.js'
 import { WideFleet } from './wide-fleet.js'
 import { WORKER_SILENCES } from './worker-silences.js'
@@ -57,12 +58,12 @@
 }
 
 /** Draws the plan of a seed: a fleet, workers of it that fall silent but for one of each pool at least, and the disturbances of the narrow series of this seed. */
-export function drawWideSeries (seed: number, silences = WORKER_SILENCES, ownerEnds = OWNER_ENDS, extents = EXTENTS): SeriesPlan {
+export function drawWideSeries (seed: number, silences = WORKER_SILENCES, ownerEnds = OWNER_ENDS, extents = EXTENTS, createFleet: (machines: readonly PlannedMachine[]) => SeriesFleet = machines => new WideFleet(machines)): SeriesPlan {
   const draw = new Draw(new SeededRandomSource(FLEET_SEED + seed))
   const machines = drawMachines(draw)
   const extent = draw.item(extents)
   const chosen = new Set(drawExtent(draw, machines, extent))
   const spared = POOLS.map(name => machines.filter(({ pool }) => pool === name)).flatMap(pool => pool.every(machine => chosen.has(machine)) ? pool.slice(-1) : [])
   const silent = [...chosen].filter(machine => !spared.includes(machine))
-  return { ...drawSeries(seed, silences, ownerEnds), silentWorkers: new PlannedWorkers(extent, silent, machines.length), fleet: new WideFleet(machines) }
+  return { ...drawSeries(seed, silences, ownerEnds), silentWorkers: new PlannedWorkers(extent, silent, machines.length), fleet: createFleet(machines) }
 }
--- a/tests/support/lease-series/play-series.ts
+++ b/tests/support/lease-series/play-series.ts
@@ -2,6 +2,7 @@
  * Plays series of disturbances.
  */
 import type { DisturbedFleet } from './disturbed-fleet.js'
+import type { SeriesFleet } from './series-fleet.js'
 import type { SeriesPlan } from './series-plan.js'
 import type { SeriesResult } from './series-result.js'
 
@@ -35,11 +36,11 @@
     }
   })
   do await disturbed.playUntil(disturbed.now + END_STEP_MILLISECONDS)
-  while (disturbed.hasActions || !isOver(disturbed, plannedFleet.tasks))
+  while (disturbed.hasActions || !isOver(disturbed, plannedFleet))
   return { gaps: disturbed.gaps(), lateGaps: disturbed.lateGaps(), violations: fleet.violations(), isServable: disturbed.calm.isServable && plannedFleet.hasRoom(disturbed) }
 }
 
-function isOver ({ lastActionAt, now, busyWorkers }: DisturbedFleet, tasks: number): boolean {
-  const running = busyWorkers.reduce((sum, { running }) => sum + running.length, 0)
-  return now >= lastActionAt + (running === tasks ? LAPSE_MILLISECONDS : LONGEST_END_MILLISECONDS)
+function isOver ({ lastActionAt, now, busyWorkers }: DisturbedFleet, plannedFleet: SeriesFleet): boolean {
+  const running = busyWorkers.reduce((sum, { running }) => sum + running.filter(task => plannedFleet.owns(task)).length, 0)
+  return now >= lastActionAt + (running === plannedFleet.tasks ? LAPSE_MILLISECONDS : LONGEST_END_MILLISECONDS)
 }
--- a/tests/support/lease-series/print-series-table.ts
+++ b/tests/support/lease-series/print-series-table.ts
@@ -1,13 +1,14 @@
 /**
  * Plays series by hand and prints a table of the times between runs; fails if a task ran again too late, or had two runs at once.
  *
- * usage: print-series-table --mode single|all --fleet small|wide|split|gone|lagging --first SEED --series COUNT
+ * usage: print-series-table --mode single|all --fleet small|wide|split|gone|lagging|mixed --first SEED --series COUNT
  */
 import { parseArgs } from 'node:util'
 import type { EmulatedWorker } from '../../../stand-ins/emulator/emulated-worker.js'
 import { describeSeries } from './describe-series.js'
 import type { Disturbance } from './disturbance.js'
 import { drawGoneSeries } from './draw-gone-series.js'
+import { drawMixedSeries } from './draw-mixed-series.js'
 import { drawSeries } from './draw-series.js'
 import { drawWideSeries } from './draw-wide-series.js'
 import { GONE_OWNER_ENDS } from './gone-owner-ends.js'
@@ -25,15 +26,16 @@
 /** Draws the plan of a seed, from all kinds or from given ones. */
 type DrawPlan = (seed: number, silences?: readonly Disturbance<readonly EmulatedWorker[]>[], ownerEnds?: readonly Disturbance<string>[]) => SeriesPlan
 
-/** Draws by fleet; in `split` workers are alone with the owner, in `lagging` lists are older than in `gone`. */
+/** Draws by fleet; in `split` workers are alone with the owner, in `lagging` lists are older than in `gone`, in `mixed` there are tasks that don't last as well. */
 const DRAWS = new Map<string, DrawPlan>([
   ['small', drawSeries], ['wide', (seed, silences, ownerEnds) => drawWideSeries(seed, silences, ownerEnds)], ['split', (seed, _silences, ownerEnds) => drawWideSeries(seed, [new PartitionWithOwner()], ownerEnds)],
-  ['gone', (seed, silences, ownerEnds) => drawGoneSeries(seed, silences, ownerEnds)], ['lagging', (seed, silences, ownerEnds) => drawGoneSeries(seed, silences, ownerEnds, 'greater')]
+  ['gone', (seed, silences, ownerEnds) => drawGoneSeries(seed, silences, ownerEnds)], ['lagging', (seed, silences, ownerEnds) => drawGoneSeries(seed, silences, ownerEnds, 'greater')],
+  ['mixed', (seed, silences, ownerEnds) => drawMixedSeries(seed, silences, ownerEnds)]
 ])
 const draw = DRAWS.get(fleet) ?? drawSeries
 
 /** Kinds that come by turns in mode `single`. */
-const IS_OF_GONE_WORKERS = fleet === 'gone' || fleet === 'lagging'
+const IS_OF_GONE_WORKERS = fleet === 'gone' || fleet === 'lagging' || fleet === 'mixed'
 const SILENCES = IS_OF_GONE_WORKERS ? GONE_SILENCES : WORKER_SILENCES
 const ENDS_OF_OWNERS = IS_OF_GONE_WORKERS ? GONE_OWNER_ENDS : OWNER_ENDS
 
--- a/tests/support/lease-series/series-table.ts
+++ b/tests/support/lease-series/series-table.ts
@@ -19,14 +19,14 @@
 export class SeriesTable {
   private readonly _rows = new Map<string, Row>()
 
-  /** Adds a series to the row of its kinds, and to that of all series. */
-  add ({ silence, silentWorkers, ownerEnd }: SeriesPlan, { gaps, lateGaps, violations }: SeriesResult): void {
+  /** Adds a series to the row of its kinds, and to that of all series; each row once for each kind of tasks. */
+  add ({ silence, silentWorkers, ownerEnd, fleet }: SeriesPlan, { gaps, lateGaps, violations }: SeriesResult): void {
+    const kindOfFinding = (finding: string): string => fleet.kindOf(finding.slice(0, finding.indexOf(':')))
     for (const key of [`${silence.kind.name} | ${ownerEnd.kind.name}`, `${silence.kind.name} | any`, `any | ${ownerEnd.kind.name}`, `${silentWorkers.name} | any`, 'any | any']) {
-      const row = this._rows.get(key) ?? { times: [], late: 0, violations: 0 }
-      this._rows.set(key, row)
-      row.times.push(...gaps.map(({ endedAt, nextStartAt }) => nextStartAt - endedAt))
-      row.late += lateGaps.length
-      row.violations += violations.length
+      for (const { task, endedAt, nextStartAt } of gaps) this._row(key, fleet.kindOf(task)).times.push(nextStartAt - endedAt)
+      for (const gap of lateGaps) this._row(key, kindOfFinding(gap)).late += 1
+      for (const violation of violations) this._row(key, kindOfFinding(violation)).violations += 1
+      this._row(key, fleet.kindOf(''))
     }
   }
 
@@ -35,6 +35,14 @@
     return [...header, ...[...this._rows].sort(([left], [right]) => left < right ? -1 : 1).map(([key, row]) => `| ${key} | ${this._cells(row).join(' | ')} |`)].join('\n')
   }
 
+  /** Returns the row of a key and a kind of tasks, and creates it on first use. */
+  private _row (key: string, kind: string): Row {
+    const name = kind === '' ? key : `${kind}: ${key}`
+    const row = this._rows.get(name) ?? { times: [], late: 0, violations: 0 }
+    this._rows.set(name, row)
+    return row
+  }
+
   private _cells ({ times, late, violations }: Row): (string | number)[] {
     const sorted = [...times].sort((left, right) => left - right)
     const seconds = (ratio: number): string => {
--- a/tests/support/lease-series/worker-returns.ts
+++ b/tests/support/lease-series/worker-returns.ts
@@ -5,25 +5,18 @@
 import { Disturbance } from './disturbance.js'
 import type { DisturbedFleet } from './disturbed-fleet.js'
 import { orderAboutMachine } from './order-about-machine.js'
+import { restartWorker } from './restart-worker.js'
 
 /** Workers that fall silent together. */
 type Workers = readonly EmulatedWorker[]
 
-/** Starts the next incarnation of a worker on its VM, with the same ID, unless it has been started meanwhile or an order has moved the VM. */
-function restart ({ fleet: { emulator } }: DisturbedFleet, worker: EmulatedWorker): EmulatedWorker | null {
-  if (!emulator.isCurrent(worker) || emulator.virtualMachines.byId.get(worker.virtualMachine)?.state !== 'down') return null
-  const restarted = emulator.restart(worker)
-  restarted.clockRate = worker.clockRate
-  return restarted
-}
-
 class Return extends Disturbance<Workers> {
   override readonly name = 'dark, back under its ID'
   override readonly end = 'given'
 
   override begin (disturbed: DisturbedFleet, workers: Workers, until: number): void {
     for (const worker of workers) disturbed.fleet.emulator.outages.cutPower(worker)
-    disturbed.schedule(until, () => { for (const worker of workers) restart(disturbed, worker) })
+    disturbed.schedule(until, () => { for (const worker of workers) restartWorker(disturbed, worker) })
   }
 }
 
@@ -41,7 +34,7 @@
     const { outages } = disturbed.fleet.emulator
     for (const worker of workers) outages.cutPower(worker)
     disturbed.schedule(until, () => {
-      const restarted = workers.flatMap(worker => restart(disturbed, worker) ?? [])
+      const restarted = workers.flatMap(worker => restartWorker(disturbed, worker) ?? [])
       disturbed.schedule(until + this._reachableMilliseconds, () => { for (const worker of restarted) outages.disconnect(worker) })
     })
   }
