Call a worker at once when it is known to have restarted

Callers saw lasting tasks run twice at once: a worker that was back under its ID carried out a start of seconds ago, although its new registry entry had been there for a while.

Cause: the owner's call to the previous incarnation (up to 0.6 s) and the pause after it (up to 0.5 s) went on when the registry showed the next one. Only the first call with the owner's token makes that incarnation refuse late starts, and a stop that the previous one had confirmed is forgotten.

Now both end with the incarnation, and the next call follows at once.

--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -11,6 +11,9 @@
 /** Allows for the time that a worker takes to kill its runs after its lease has expired. */
 const LEASE_EXPIRY_MARGIN_MILLISECONDS = 150
 
+/** Reason for giving up what waits for an incarnation. Node would otherwise create an error with a stack trace for each. */
+const INCARNATION_ENDED = new Error('the worker has restarted')
+
 /** Reservations, clock and lease of a worker in its current incarnation. */
 export class FleetWorker extends WorkerReservations {
   override entry: WorkerEntry
@@ -81,6 +84,7 @@
   /** Client for calls to the worker; null for a placeholder and after its lease renewal has ended. */
   client: WorkerClient | null = null
 
+  private _incarnationEnd = new AbortController()
   /** Whether other owners may have renewed leases of this incarnation. */
   private _hasInheritedLeases = true
 
@@ -90,6 +94,11 @@
     this.entry = entry
   }
 
+  /** Aborted when the worker is known to have restarted. */
+  get incarnationSignal (): AbortSignal {
+    return this._incarnationEnd.signal
+  }
+
   /** Rack of the worker: the second label, after the kind of VM; empty if unknown. */
   get rack (): string {
     return this.entry.labels[1] ?? ''
@@ -194,6 +203,9 @@
     this.isBoundWithdrawn = false
     this.responseOverdueAt = Infinity
     this._clearFailedCalls()
+    const ended = this._incarnationEnd
+    this._incarnationEnd = new AbortController()
+    ended.abort(INCARNATION_ENDED)
   }
 
   /** Lowers the time by which leases requested by other owners have expired, in epoch milliseconds. */
--- a/src/scheduling/lease-renewal-task.ts
+++ b/src/scheduling/lease-renewal-task.ts
@@ -32,6 +32,9 @@
 /** Reason for stopping the timer of that wait. Node would otherwise create an error with a stack trace for each wait. */
 const JOURNAL_WAIT_OVER = new Error('the wait for the journal is over')
 
+/** Reason for ending a call or a pause early. */
+const WAIT_OVER = new Error('the wait is over')
+
 /** Base and ceiling of the backoff after failed calls. */
 const BACKOFF_MILLISECONDS = [100, 500] as const
 
@@ -79,10 +82,12 @@
       const { client } = worker
       if (!client) return
       const { token } = client.fence
-      const response = await client.renewLease(request, responseDeadline, signal)
+      const { incarnationSignal } = worker
+      const response = await this._untilRestart(stop => client.renewLease(request, responseDeadline, stop), signal)
       worker.responseOverdueAt = Infinity
       if (signal.aborted) return
       if (response.isLeft()) {
+        if (incarnationSignal.aborted) continue
         if (!await this._handleFailure(response.extract() as WorkerError, signal)) return
         continue
       }
@@ -159,10 +164,23 @@
       return false
     }
     this._leaseBounds.record(worker)
-    await this._backoff.pause(signal)
+    await this._untilRestart(stop => this._backoff.pause(stop), signal)
     return true
   }
 
+  /** Ends a call or a pause early once the worker is known to have restarted: until the new incarnation has been called it may carry out late starts. */
+  private async _untilRestart<T> (wait: (stop: AbortSignal) => Promise<T>, signal: AbortSignal): Promise<T> {
+    const controller = new AbortController()
+    const stop = (): void => controller.abort(WAIT_OVER)
+    const signals = [signal, this._worker.incarnationSignal]
+    for (const other of signals) other.addEventListener('abort', stop, { once: true })
+    try {
+      return await wait(controller.signal)
+    } finally {
+      for (const other of signals) other.removeEventListener('abort', stop)
+    }
+  }
+
   private _recordSuccess (): void {
     if (this._consecutiveFailures >= FAILURES_UNTIL_UNREACHABLE) this._log.emit('worker reachable again', { worker: this._worker.entry.id })
     this._consecutiveFailures = 0
