--- a/src/ownership/earlier-owners.ts
+++ b/src/ownership/earlier-owners.ts
@@ -24,16 +24,16 @@
   /**
    * @param previous the term before the claim.
    * @param lastContactAt epoch milliseconds before which its holder wrote its last record.
-   * @param _claimedAt epoch milliseconds of the claim.
+   * @param claimedAt epoch milliseconds of the claim, since when they can't decide on anything.
    */
-  constructor (private readonly _jobTable: JobTable, readonly previous: Term, readonly lastContactAt: number, private readonly _claimedAt: number) {
+  constructor (private readonly _jobTable: JobTable, readonly previous: Term, readonly lastContactAt: number, readonly claimedAt: number) {
     this._renewals = previous.renewals
     this._writtenBefore = previous.renewalsReadAt
   }
 
   /** Epoch milliseconds until which any of them may have extended leases. It becomes earlier with what workers show, or when the last one's process turns out to have ended. */
   get renewLeasesUntil (): number {
-    if (!this._renewals) return this._claimedAt
+    if (!this._renewals) return this.claimedAt
     const { process, holder, until, resumesUntil, othersUntil } = this._renewals
     const ownUntil = this.isResumptionExcluded ? until : Math.max(until, resumesUntil)
     return Math.max(Math.min(this._toLocal(ownUntil), this._jobTable.holderEndedAt(process, holder)), this._toLocal(othersUntil))
@@ -76,7 +76,7 @@
    * was written since an owner last extended leases.
    */
   leaseBound (worker: string, incarnation: number): number | null {
-    const bound = this._jobTable.leaseBound(worker)
+    const bound = this._jobTable.leaseBounds.of(worker)
     const renewingTerm = this._renewals?.term ?? 0
     if (bound?.incarnation !== incarnation || bound.term < renewingTerm) return null
     // Times of different owners don't compare: each may have set the fleet time anew.
@@ -85,7 +85,7 @@
 
   /** Returns what the journal says of a worker that earlier owners couldn't reach, and whose entry the registry may no longer have. */
   unreachableWorker (worker: string, incarnation: number): { readonly address: string, readonly refusesConnections: boolean } {
-    const bound = this._jobTable.leaseBound(worker)
+    const bound = this._jobTable.leaseBounds.of(worker)
     return bound?.incarnation === incarnation ? bound : { address: '', refusesConnections: false }
   }
 
--- a/src/scheduling/lease-bounds.ts
+++ b/src/scheduling/lease-bounds.ts
@@ -65,7 +65,7 @@
     const occupied = [...workers].filter(({ tasks }) => tasks.size > 0)
     const unheard = occupied.filter(({ lastReportAt }) => lastReportAt === 0)
     const unheardIds = new Set(unheard.map(({ entry: { id } }) => id))
-    for (const id of [...this._jobTable.workersWithLeaseBound]) if (!unheardIds.has(id)) this._writer.append({ kind: 'lease-bound-withdrawal', worker: id })
+    for (const id of [...this._jobTable.leaseBounds.workers]) if (!unheardIds.has(id)) this._writer.append({ kind: 'lease-bound-withdrawal', worker: id })
     for (const worker of occupied) if (worker.lastReportAt > 0) worker.hasLeaseBound = false
     for (const worker of unheard) {
       this._inheritSuccessor(worker)
@@ -83,7 +83,7 @@
 
   /** The successor that an earlier owner has seen may have left since. */
   private _inheritSuccessor (worker: FleetWorker): void {
-    const bound = this._jobTable.leaseBound(worker.entry.id)
+    const bound = this._jobTable.leaseBounds.of(worker.entry.id)
     if (!bound?.hasSuccessor || bound.incarnation !== worker.entry.incarnation) return
     worker.refusesConnections = true
     worker.hasSuccessor = true
@@ -100,13 +100,16 @@
     this._writer.append({ kind: 'lease-bound', worker: id, incarnation, term: this._term, at: this._fleetTime.now(), expiresAt: this._fleetTime.fromLocal(leaseExpiresAt), address, refusesConnections, hasSuccessor })
   }
 
-  /** Logs by when the leases of the workers that have not reported yet have expired. */
+  /** Logs by when the leases of the workers that have not reported yet have expired, and how many of their runs wait for that even if the platform shows the worker's end. */
   private _logInherited (occupied: readonly FleetWorker[], unheard: readonly FleetWorker[]): void {
+    const runs = unheard.flatMap(({ tasks }) => [...tasks])
     const expiries = unheard.map(({ leaseExpiresAt }) => Math.round(leaseExpiresAt)).sort((left, right) => left - right)
     this._log.emit('leases inherited', {
       workers: occupied.length,
       unheard: unheard.length,
       unlisted: unheard.filter(({ isListed }) => !isListed).length,
+      runs: runs.length,
+      unknownStarts: runs.length - unheard.flatMap(({ startedTasks }) => startedTasks).length,
       firstExpiresAt: expiries[0] ?? null,
       lastExpiresAt: expiries.at(-1) ?? null
     })
