Show that runs accepted by an incarnation that the owner doesn't know of start twice

What callers see: two runs of one task at once.

Cause: (1) the registry shows an incarnation before its first report, and the owner takes a run that this incarnation has accepted for lost with the one before; (2) the next owner takes an inherited run for ended because the registry has a newer incarnation, which may be the one that accepted it.

--- a/tests/starts-on-next-incarnations.test.ts
+++ b/tests/starts-on-next-incarnations.test.ts
@@ -44,3 +44,22 @@
   expect(fleet.starts(TASK).length).toBeGreaterThan(0)
   expect(fleet.violations()).toEqual([])
 })
+
+// Guards against a newer incarnation that is taken for a proof that an inherited run has ended, although its start may have been accepted there.
+test.each([[true, 40], [false, 40]])('a run that began on the next incarnation of its worker (lasting: %s) is not started again beside itself although its owner is lost %i ms after that', async (isLasting, milliseconds) => {
+  const racks = await RackFleet.create(['r1', 'r2', 'r3', 'r4'])
+  const { fleet } = racks
+  fleet.emulator.faults.renewalLatencyMilliseconds = 200
+  const found = restartBeforeNextStart(fleet)
+  const owner = fleet.owner()
+  const submission = racks.submit('aaaa', 'r1', { isLasting })
+  for (let elapsed = 0; fleet.starts(TASK).length === 0 && elapsed < 3_000; elapsed++) await fleet.clock.advance(1)
+  await fleet.clock.advance(milliseconds)
+  fleet.kill(owner)
+  await submission
+  await fleet.clock.advance(1_000)
+  if (found.restarted) fleet.emulator.outages.disconnect(found.restarted)
+  await fleet.clock.advance(20_000)
+  expect(fleet.starts(TASK).length).toBeGreaterThan(0)
+  expect(fleet.violations()).toEqual([])
+})
