--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -79,6 +79,11 @@
     return this._earlyCancellations
   }
 
+  /** Whether there are decisions on jobs whose submission hasn't been read. */
+  get hasEarlyDecisions (): boolean {
+    return this._earlyDecisions.size > 0
+  }
+
   /** Whether another such cancellation can be kept. */
   get hasRoomForEarlyCancellation (): boolean {
     return this._earlyCancellations.size < MAXIMUM_EARLY_CANCELLATIONS
--- a/src/jobs/settled-starts.ts
+++ b/src/jobs/settled-starts.ts
@@ -4,8 +4,8 @@
 import * as z from 'zod'
 
 /**
- * A low watermark over the numbers of placements. The start of a placement numbered below `before` and not in `except` has been accepted or refused by its worker, or was never sent: a worker that
- * starts again doesn't receive it. Of all others nothing is known.
+ * A low watermark over the numbers of placements. The start of a placement numbered below `before` and not in `except` has been accepted or refused by its worker, or was never sent: no later incarnation of the
+ * worker receives it. Of all others nothing is known.
  */
 export const SettledStarts = z.object({
   /** Number of the first placement about which nothing is said. */
--- a/src/scheduling/fleet-worker.ts
+++ b/src/scheduling/fleet-worker.ts
@@ -129,7 +129,7 @@
 
   /** Tasks whose runs have started, and so end with the incarnation. */
   get startedTasks (): ScheduledTask[] {
-    return [...this.tasks].filter(({ isConfirmed, isStarted, runState }) => isConfirmed || (runState === 'inherited' && isStarted))
+    return [...this.tasks].filter(({ isStarted }) => isStarted)
   }
 
   /**
@@ -137,7 +137,7 @@
    * keep their reservation until that incarnation reports, the start is over, or the lease has expired.
    */
   tasksOverWithIncarnation (now: number): ScheduledTask[] {
-    return now < this._inheritedStartsOverAt ? this.startedTasks : [...this.tasks].filter(({ isConfirmed, runState }) => isConfirmed || runState === 'inherited')
+    return now < this._inheritedStartsOverAt ? this.startedTasks : [...this.tasks].filter(({ isStarted, runState }) => isStarted || runState === 'inherited')
   }
 
   /** Whether its lease serves no run but such of which the start is unsettled: once it has expired, none of them runs or begins. */
--- a/src/scheduling/inherited-leases.ts
+++ b/src/scheduling/inherited-leases.ts
@@ -38,11 +38,11 @@
   }
 
   /**
-   * Epoch milliseconds by which no start of an earlier owner is on its way any more. An order that gets no response may be carried out seconds later; owners wait for the longest lease, as for
-   * their own.
+   * Epoch milliseconds by which no start of an earlier owner is on its way any more. An order that gets no response may be carried out seconds later; the length of a lease is allowed for that, as
+   * for an owner's own starts.
    */
   get startsOverAt (): number {
-    return this._earlierOwners.claimedAt + this._longestLeaseMilliseconds
+    return this._earlierOwners.claimedAt + this._leaseMilliseconds
   }
 
   private get _longestLeaseMilliseconds (): number {
--- a/src/scheduling/takeover-task.ts
+++ b/src/scheduling/takeover-task.ts
@@ -37,7 +37,7 @@
     while (!this._registry.isLoaded && !signal.aborted) await this._registry.changed.wait(this._clock, Infinity, signal)
     if (signal.aborted) return
     const areRestored = [...this._jobTable.jobs].map(job => this._restore(job))
-    if (!areRestored.includes(false)) this._unsettledStarts.completeInheritance()
+    if (!areRestored.includes(false) && !this._jobTable.hasEarlyDecisions) this._unsettledStarts.completeInheritance()
     for (const { entry } of this._workers.all) this._losses.workerListed(entry)
     this._jobTable.observer = this._schedule
     await this._untilReported(signal)
--- a/src/scheduling/unsettled-starts.ts
+++ b/src/scheduling/unsettled-starts.ts
@@ -1,11 +1,11 @@
 /**
- * Runs that have been decided on and whose start may be on its way.
+ * Numbers of placements, and which of their starts may be on their way.
  */
 import type { SettledStarts } from '../jobs/settled-starts.js'
 import type { ScheduledTask } from './scheduled-task.js'
 
 /**
- * Limit on the starts without an outcome. Renewals of leases share the owner's processor and link with the starts, and a start that isn't answered in time costs a stop as well: the limit
+ * Limit on the starts that await a response. Renewals of leases share the owner's processor and link with the starts, and a start that isn't answered in time costs a stop as well: the limit
  * keeps an owner that can start 100 runs in a second from delaying renewals by more than half of a lease.
  */
 const MAXIMUM_PENDING_STARTS = 256
@@ -21,7 +21,7 @@
   private readonly _tasks = new Set<ScheduledTask>()
   private _pendingCount = 0
   private _nextNumber: number
-  private _isInherited = false
+  private _isInheritanceComplete = false
   private _written: SettledStarts
 
   /** @param _earlier what the journal says of the starts of earlier owners. */
@@ -38,8 +38,8 @@
 
   /** Adds a task whose placement has been decided on. */
   add (task: ScheduledTask): void {
+    if (!this._tasks.has(task)) this._pendingCount += 1
     this._tasks.add(task)
-    this._pendingCount += 1
   }
 
   /** Applies to a task that an earlier owner has placed what the journal says of its start. */
@@ -52,7 +52,7 @@
 
   /** Records that all tasks that earlier owners have placed are known, so that the watermark may rise. */
   completeInheritance (): void {
-    this._isInherited = true
+    this._isInheritanceComplete = true
   }
 
   /** Forgets the tasks whose start is settled. */
@@ -68,7 +68,7 @@
 
   /** Returns which starts are settled if that has changed since the last call, or null. Placements without a number are never taken for settled. */
   takeChange (): SettledStarts | null {
-    if (!this._isInherited) return null
+    if (!this._isInheritanceComplete) return null
     this.update()
     const numbers = [...this._tasks].map(({ placementNumber }) => placementNumber).filter(number => number > 0).sort((left, right) => left - right)
     const settled = { before: numbers[MAXIMUM_EXCEPTIONS] ?? this._nextNumber, except: numbers.slice(0, MAXIMUM_EXCEPTIONS) }
