--- a/src/jobs/task-progress.ts
+++ b/src/jobs/task-progress.ts
@@ -22,6 +22,8 @@
   placedAtClock: z.number().optional(),
   /** Whether the worker has accepted the start of that run or has reported it, so that no start is on its way; only of a placed task. */
   isStarted: z.boolean().optional(),
+  /** Whether that incarnation has reported the run, so that the run ends with it; only of a placed task. */
+  isReported: z.boolean().optional(),
   /** Number of the placement, higher than those of all earlier ones; only of a placed task whose start may be on its way, and missing in records of older versions. */
   placementNumber: z.number().int().min(1).optional(),
   /** Newest checkpoint; empty for none. */
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -26,12 +26,12 @@
 const CrashRow = z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1), UnprovenEnd.optional()])
 
 /**
- * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, a 1 if the task waits and every start so far was refused or a 2 if the start of its run has been accepted, the worker's clock at the placement or null, and the number of the
+ * Phase, run, failed runs, worker, incarnation, checkpoint, crashes if there are any, a 1 if the task waits and every start so far was refused a 2 if the start of its run is settled or a 3 if the worker has reported the run, the worker's clock at the placement or null, and the number of the
  * placement if its start may be on its way. A compact tuple, because every change rewrites all rows of a step.
  */
 const TaskRow = z.tuple([
   z.number().int().min(0).max(PHASES.length - 1), z.number(), z.array(z.number()), z.string(), z.number(), z.string(),
-  z.array(CrashRow).optional(), z.literal([0, 1, 2]).optional(), z.number().nullable().optional(), z.number().int().min(1).optional()
+  z.array(CrashRow).optional(), z.literal([0, 1, 2, 3]).optional(), z.number().nullable().optional(), z.number().int().min(1).optional()
 ])
 const TaskRows = listOf(TaskRow)
 const TermValue = z.object({
@@ -125,13 +125,13 @@
     return [this._jsonRecord(`over/${job}`, { queue, state }), ...keys.map(key => ({ key, value: TOMBSTONE }))]
   }
 
-  private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, placedAtClock, isStarted = false, placementNumber, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
+  private static _encodeTask ({ phase, run, hasBegun, failedRuns, worker, incarnation, placedAtClock, isStarted = false, isReported = false, placementNumber, checkpoint, crashes }: TaskProgress): z.infer<typeof TaskRow> {
     const row: z.infer<typeof TaskRow> = [PHASES.indexOf(phase), run, failedRuns, worker, incarnation, checkpoint]
     const isRefused = run > 0 && !hasBegun
     const isNumbered = placementNumber !== undefined
     const isTimed = placedAtClock !== undefined || isNumbered
     if (crashes.length > 0 || isRefused || isStarted || isTimed) row[6] = crashes.map(crash => this._encodeCrash(crash))
-    if (isRefused || isStarted || isTimed) row[7] = isRefused ? 1 : isStarted ? 2 : 0
+    if (isRefused || isStarted || isTimed) row[7] = isRefused ? 1 : isReported ? 3 : isStarted ? 2 : 0
     if (isTimed) row[8] = placedAtClock ?? null
     if (isNumbered) row[9] = placementNumber
     return row
@@ -146,7 +146,8 @@
       worker,
       incarnation,
       ...placedAtClock === null ? {} : { placedAtClock },
-      ...starts === 2 ? { isStarted: true } : {},
+      ...starts >= 2 ? { isStarted: true } : {},
+      ...starts === 3 ? { isReported: true } : {},
       ...placementNumber === undefined ? {} : { placementNumber },
       checkpoint,
       crashes: crashes.map(crash => this._decodeCrash(crash))
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -52,7 +52,7 @@
   override jobSubmitted (view: JobView): void {
     const job = new ScheduledJob(view, this._fleetTime)
     this._jobs.add(job)
-    for (const step of job.steps) for (const task of step.tasks) if (task.phase === 'placed' && this._inheritedPlacements.restore(task)) this.recordCrash(task, { run: task.run, role: 'unconfirmed' })
+    for (const step of job.steps) for (const task of step.tasks) if (task.phase === 'placed') this._restorePlacement(task)
     if (job.isFinished) this._finishJob(job)
     else if (view.isCancellationRequested) this.jobCancellationRequested(view)
     this.markChanged()
@@ -173,6 +173,14 @@
     this.changed.notify()
   }
 
+  /** Restores a task placed under an earlier term. If its worker has restarted since, a run that the earlier incarnation had reported has ended. */
+  private _restorePlacement (task: ScheduledTask): void {
+    const isRestarted = this._inheritedPlacements.restore(task)
+    if (!isRestarted) return
+    if (task.isReported) this.requeue(task)
+    this.recordCrash(task, { run: task.run, role: 'unconfirmed' })
+  }
+
   private _startRun (task: ScheduledTask, worker: FleetWorker, run: number, placedAt: number): void {
     if (task.run !== run || task.worker !== worker || task.runState !== 'intended') return
     const now = this._clock.now()
--- a/src/scheduling/inherited-placements.ts
+++ b/src/scheduling/inherited-placements.ts
@@ -7,12 +7,12 @@
 import type { UnsettledStarts } from './unsettled-starts.js'
 import type { WorkerTable } from './worker-table.js'
 
-/** Keeps each task on its worker until that reports whether the run is there, or is lost. */
+/** Reserves each task's place on its worker, in the incarnation that is known by now. */
 export class InheritedPlacements {
   constructor (private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _unsettledStarts: UnsettledStarts, private readonly _clock: Clock) {}
 
   /**
-   * Restores the placement of a task. A later incarnation of its worker may have received the start, or may do so until this owner has called it, whatever the journal says of the earlier one.
+   * Restores the placement of a task. A later incarnation of its worker may have received the start, or may do so until this owner has called it, unless the earlier one had reported the run.
    *
    * @returns whether the registry shows a later incarnation than the journal.
    */
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -53,8 +53,8 @@
   placedAtClock: number
   /** Whether the start of the current run is no longer on its way: its worker has accepted it or has reported the run, or the journal says so. */
   isStarted: boolean
-  /** Whether the present incarnation of the worker has reported the current run to this owner, so that the run ends with it. */
-  isReported = false
+  /** Whether that incarnation of the worker has reported the current run, so that the run ends with it. */
+  isReported: boolean
   /** Number of the current placement; 0 if an older version wrote it, or while the task has not been placed. */
   placementNumber: number
   /** Time for which the current run had been active when this owner first saw it, in milliseconds. */
@@ -78,6 +78,7 @@
     this.incarnation = progress?.incarnation ?? 0
     this.placedAtClock = progress?.placedAtClock ?? 0
     this.isStarted = progress?.isStarted ?? false
+    this.isReported = progress?.isReported ?? false
     this.placementNumber = progress?.placementNumber ?? 0
     this.crashes = new CrashHistory(progress?.crashes)
   }
@@ -194,6 +195,7 @@
       incarnation: isPlaced ? this.incarnation : 0,
       ...isPlaced && this.placedAtClock > 0 ? { placedAtClock: this.placedAtClock } : {},
       ...isPlaced && this.isStarted ? { isStarted: true } : {},
+      ...isPlaced && this.isStarted && this.isReported ? { isReported: true } : {},
       ...this.isStartUnsettled && this.placementNumber > 0 ? { placementNumber: this.placementNumber } : {},
       checkpoint: this.phase === 'done' ? '' : this.checkpoint,
       crashes: this.phase === 'done' ? [] : [...this.crashes.records]
--- a/src/scheduling/worker-reconciler.ts
+++ b/src/scheduling/worker-reconciler.ts
@@ -103,8 +103,10 @@
   }
 
   private _confirmRun (task: ScheduledTask, activeRun: ActiveRun, workerClock: number): void {
+    const isFirstReport = !task.isReported
     task.recordReported(this._clock.now(), workerClock)
     this._schedule.recordStart(task)
+    if (isFirstReport && task.step.definition.isLasting) this._schedule.writeProgress(task)
     if (task.isStable && !task.crashes.isEmpty) {
       task.crashes.clear()
       this._schedule.writeProgress(task)
--- a/tests/lease-series.test.ts
+++ b/tests/lease-series.test.ts
@@ -24,8 +24,8 @@
 const SEEDS_WITH_SILENT_NAMES = [80, 152, 279, 320, 338]
 const SEEDS_WITH_SILENT_MAJORITY = [97, 164, 224]
 
-/** Seeds of series of workers that have ended: the first ones by turns, one with late starts at restarted workers, and those in which tasks waited too long while no owner read the platform's list for it. */
-const GONE_SEEDS = [1, 2, 4, 5, 277]
+/** Seeds of series of workers that have ended: the first ones by turns, one of workers that are cut off again after their restart, one with late starts at restarted workers, and those in which tasks waited too long while no owner read the platform's list for it. */
+const GONE_SEEDS = [1, 2, 4, 5, 9, 277]
 const SEEDS_WITH_LISTED_ENDS = [3, 12, 20, 63]
 
 /** Seeds of series that have two runs at once if a new owner doesn't wait for an owner that is alone with its workers. */
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -47,6 +47,13 @@
   }), { seed: 1 })
 })
 
+test.each([{}, { isStarted: true }, { isStarted: true, isReported: true }, { placementNumber: 7 }, { isStarted: true, isReported: true, placedAtClock: 5.5 }])('the row of a placed task decodes to what was encoded: %j', fields => {
+  const row = { phase: 'placed' as const, run: 2, hasBegun: true, failedRuns: [], worker: 'i-1', incarnation: 3, checkpoint: '', crashes: [], ...fields }
+  const record = { kind: 'progress' as const, job: 'aaaa', occurrence: 0, step: 0, tasks: [row] }
+  const [encoded] = JournalCodec.encode(record)
+  expect(encoded ? JournalCodec.decode(encoded).extract() : null).toEqual(record)
+})
+
 test('the record of settled starts decodes to what was encoded', () => {
   fc.assert(fc.property(fc.nat(), fc.array(fc.nat()), (before, except) => {
     const record = { kind: 'settled-starts' as const, starts: { before, except } }
