Tell which incarnation of a worker has answered a start or a stop

Responses carry the worker's clock, which starts anew with each incarnation: calls return its reading, an estimate of the known clock tells whether it is another one, and the log line of an answered stop says so. No decision depends on it yet.

--- a/src/platform/http-worker-client.ts
+++ b/src/platform/http-worker-client.ts
@@ -19,6 +19,8 @@
 
 const RefusalResponse = z.object({ reason: z.string().default('') })
 
+const ClockResponse = z.object({ clock_ms: z.number() })
+
 /** Each request names the expected worker and carries its fencing token. */
 export class HttpWorkerClient extends WorkerClient {
   private readonly _headers: Readonly<Record<string, string>>
@@ -28,7 +30,7 @@
     this._headers = { 'expect-instance': id }
   }
 
-  override async start (order: StartRunOrder, leaseDeadline: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, void>> {
+  override async start (order: StartRunOrder, leaseDeadline: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, number | null>> {
     const body = {
       task: order.task,
       run: order.run,
@@ -37,11 +39,11 @@
       ...(order.checkpoint === '' ? {} : { last_checkpoint: order.checkpoint }),
       ...(order.ticket === '' ? {} : { ticket: order.ticket })
     }
-    return (await this._call('run-start', body, deadline, signal)).map(() => undefined)
+    return (await this._call('run-start', body, deadline, signal)).map(response => this._readClock(response))
   }
 
-  override async stop (task: string, run: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, void>> {
-    return (await this._call('run-stop', { task, run }, deadline, signal)).map(() => undefined)
+  override async stop (task: string, run: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, number | null>> {
+    return (await this._call('run-stop', { task, run }, deadline, signal)).map(response => this._readClock(response))
   }
 
   override async throttle (task: string, run: number, percent: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, void>> {
@@ -62,6 +64,10 @@
     await this._client.close()
   }
 
+  private _readClock (body: Buffer): number | null {
+    return parseJson(ClockResponse, body).map<number | null>(response => response.clock_ms).orDefault(null)
+  }
+
   private async _call (operation: string, body: object, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, Buffer>> {
     const { token } = this.fence
     const response = await this._client.call({ method: 'POST', path: `/samphireglade/${operation}`, headers: this._headers, body: { ...body, fencing_token: token }, deadline, signal })
--- a/src/runs/stop-run-task.ts
+++ b/src/runs/stop-run-task.ts
@@ -33,9 +33,12 @@
     const { _worker: worker } = this
     // The client is null once lease renewal has ended: after the lease has expired no run is left to stop.
     while (!signal.aborted && worker.client) {
-      const response = await worker.client.stop(this._taskName, this._run, this._clock.now() + STOP_TIMEOUT_MILLISECONDS, signal)
+      const sentAt = this._clock.now()
+      const response = await worker.client.stop(this._taskName, this._run, sentAt + STOP_TIMEOUT_MILLISECONDS, signal)
       if (response.isRight()) {
-        this._log.emit('run stopped', { task: this._taskName, run: this._run, worker: worker.entry.id })
+        const { entry: { id, incarnation }, clockEstimate } = worker
+        const clock = response.unsafeCoerce()
+        this._log.emit('run stopped', { task: this._taskName, run: this._run, worker: id, incarnation, isFromOther: clock === null ? null : clockEstimate.isFromOther(clock, sentAt, this._clock.now()) })
         this._outcomes.stopConfirmed(worker, this._taskName, this._run)
         return
       }
--- a/src/workers/worker-client.ts
+++ b/src/workers/worker-client.ts
@@ -21,11 +21,19 @@
 export abstract class WorkerClient {
   constructor (readonly fence: OrderFence) {}
 
-  /** Starts a run. Idempotent for a run that has started already. */
-  abstract start (order: StartRunOrder, leaseDeadline: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, void>>
+  /**
+   * Starts a run. Idempotent for a run that has started already.
+   *
+   * @returns the reading of the worker's clock, in milliseconds, which tells the incarnation that has accepted the run; null if the response has none.
+   */
+  abstract start (order: StartRunOrder, leaseDeadline: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, number | null>>
 
-  /** Stops a run, or keeps it from starting if it has not started yet. */
-  abstract stop (taskName: string, run: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, void>>
+  /**
+   * Stops a run, or keeps it from starting if it has not started yet.
+   *
+   * @returns the same as `start`.
+   */
+  abstract stop (taskName: string, run: number, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, number | null>>
 
   /** Renews the lease and returns the active and the completed runs. */
   abstract renewLease (request: LeaseRenewalRequest, deadline: number, signal: AbortSignal): Promise<Either<WorkerError, WorkerReport>>
--- a/src/workers/worker-clock-estimate.ts
+++ b/src/workers/worker-clock-estimate.ts
@@ -46,6 +46,19 @@
     return clock > this.read(receivedAt).latest + CONTRADICTION_TOLERANCE_MILLISECONDS
   }
 
+  /**
+   * Returns whether a response with the reading `clock` comes from another clock than the reports, and so from another incarnation; null while none is known.
+   *
+   * @param requestedAt epoch milliseconds at which the response was requested.
+   * @param receivedAt epoch milliseconds at which it arrived.
+   */
+  isFromOther (clock: number, requestedAt: number, receivedAt: number): boolean | null {
+    if (!this.isKnown) return null
+    const sinceRequest = requestedAt - this._at
+    const earliest = this._earliest + sinceRequest * (sinceRequest < 0 ? WORKER_CLOCK_RATE.fastest : WORKER_CLOCK_RATE.slowest)
+    return clock < earliest - CONTRADICTION_TOLERANCE_MILLISECONDS || this.isContradictedBy(clock, receivedAt)
+  }
+
   /** Forgets everything known before `now` (epoch milliseconds), because another incarnation follows or the owner's clock has stood still. */
   reset (now: number): void {
     this._earliest = 0
