Give up runs only by evidence from after their starts

Cause: the response of a start was taken for one of the known incarnation. Two lists of VMs from the time without power, the lease of the former incarnation, or a report that was requested earlier then counted as the end of the run.

Change: each run has the time from which on evidence counts, zero if the clock in the response agrees with that of the known incarnation, or if that has reported it. Reports, registry entries, lists and leases go by it. Another clock lets the owner call the worker at once, without acknowledging anything or extending a lease.

--- a/src/capacity/listed-worker-ends.ts
+++ b/src/capacity/listed-worker-ends.ts
@@ -13,8 +13,8 @@
     super()
   }
 
-  override endOf ({ entry: { id }, incarnationKnownAt, lastReportAt }: FleetWorker): 'by-order' | 'unexplained' | null {
-    if (!this._listings.isMissing(id, Math.max(incarnationKnownAt, lastReportAt) + LIST_LAG_ALLOWANCE_MILLISECONDS)) return null
+  override endOf ({ entry: { id }, incarnationKnownAt, lastReportAt }: FleetWorker, since = 0): 'by-order' | 'unexplained' | null {
+    if (!this._listings.isMissing(id, Math.max(incarnationKnownAt, lastReportAt, since) + LIST_LAG_ALLOWANCE_MILLISECONDS)) return null
     return this._listings.isTakenDown(id) ? 'by-order' : 'unexplained'
   }
 
--- a/src/jobs/journal-record.ts
+++ b/src/jobs/journal-record.ts
@@ -57,6 +57,8 @@
     term: z.number().int(),
     at: z.number(),
     expiresAt: z.number(),
+    /** The same for runs whose start is unsettled, if it is later. */
+    startsExpireAt: z.number().optional(),
     address: z.string().optional(),
     refusesConnections: z.boolean().optional(),
     hasSuccessor: z.boolean().optional()
--- a/src/jobs/lease-bound-table.ts
+++ b/src/jobs/lease-bound-table.ts
@@ -27,10 +27,11 @@
   }
 
   /** Applies a bound. The same one may be read again, and still runs from the first time. */
-  apply ({ worker, incarnation, term, at, expiresAt, address = '', refusesConnections = false, hasSuccessor = false }: Extract<JournalRecord, { kind: 'lease-bound' }>): void {
+  apply ({ worker, incarnation, term, at, expiresAt, startsExpireAt = expiresAt, address = '', refusesConnections = false, hasSuccessor = false }: Extract<JournalRecord, { kind: 'lease-bound' }>): void {
     const known = this._bounds.get(worker)
-    if (known?.incarnation === incarnation && known.term === term && known.decidedAt === at && known.expiresAt === expiresAt) return
-    this._bounds.set(worker, { incarnation, term, decidedAt: at, expiresAt, expiresAtLatest: this._clock.now() + Math.max(0, expiresAt - at), address, refusesConnections, hasSuccessor })
+    if (known?.incarnation === incarnation && known.term === term && known.decidedAt === at && known.expiresAt === expiresAt && known.startsExpireAt === startsExpireAt) return
+    const now = this._clock.now()
+    this._bounds.set(worker, { incarnation, term, decidedAt: at, expiresAt, expiresAtLatest: now + Math.max(0, expiresAt - at), startsExpireAt, startsExpireAtLatest: now + Math.max(0, startsExpireAt - at), address, refusesConnections, hasSuccessor })
   }
 
   /** Forgets the bound of a worker. */
--- a/src/jobs/lease-bound.ts
+++ b/src/jobs/lease-bound.ts
@@ -13,6 +13,9 @@
   readonly expiresAt: number
   /** The same in epoch milliseconds, if the bound was decided on when this process first read of it. */
   readonly expiresAtLatest: number
+  /** The same two for runs whose start was unsettled, which may have begun on the next incarnation; not earlier than for the others. */
+  readonly startsExpireAt: number
+  readonly startsExpireAtLatest: number
   /** Address of the worker; empty if unknown. */
   readonly address: string
   /** Whether connections to it were refused. */
--- a/src/leases/inherited-leases.ts
+++ b/src/leases/inherited-leases.ts
@@ -24,9 +24,10 @@
 
   /**
    * @param _leaseMilliseconds length of a lease, the same in all processes of a fleet, since each owner relies on it.
+   * @param maximumMilliseconds longest lease that a worker accepts.
    * @param _earlierOwners owners whose leases may not have expired.
    */
-  constructor (private readonly _leaseMilliseconds: number, private readonly _earlierOwners: EarlierOwners, private readonly _clock: Clock, private readonly _log: DecisionLog) {
+  constructor (private readonly _leaseMilliseconds: number, readonly maximumMilliseconds: number, private readonly _earlierOwners: EarlierOwners, private readonly _clock: Clock, private readonly _log: DecisionLog) {
     this._expireAt = _earlierOwners.renewLeasesUntil + this._longestLeaseMilliseconds
     this._loggedExpireAt = this._expireAt
     this._previousWrittenBefore = _earlierOwners.writtenBefore
@@ -54,6 +55,11 @@
     return Math.min(this._expireAt, this._earlierOwners.leaseBound(worker, incarnation) ?? Infinity)
   }
 
+  /** Returns the epoch milliseconds by which leases have expired that unsettled starts may have set on the incarnation after that one; 0 if the journal says nothing. */
+  startsExpiryOf (worker: string, incarnation: number): number {
+    return this._earlierOwners.startsBound(worker, incarnation)
+  }
+
   /** Applies what has become known of earlier owners. Returns whether any lease may have turned out to expire earlier. */
   refresh (): boolean {
     this._logResumption()
--- a/src/leases/lease-bounds.ts
+++ b/src/leases/lease-bounds.ts
@@ -90,20 +90,20 @@
   }
 
   private _write (worker: FleetWorker): void {
-    const { entry: { id, incarnation, address }, leaseExpiresAt, lastReportAt, refusesConnections, hasSuccessor } = worker
+    const { entry: { id, incarnation, address }, leaseExpiresAt, runsExpireAt, lastReportAt, refusesConnections, hasSuccessor } = worker
     worker.hasLeaseBound = true
     worker.isBoundWithdrawn = false
     worker.boundExpiresAt = leaseExpiresAt
     worker.isRefusalRecorded = refusesConnections
     worker.isSuccessorRecorded = hasSuccessor
-    if (lastReportAt > 0) this._log.emit('lease bound recorded', { worker: id, incarnation, runs: worker.tasks.size, heardAt: Math.round(lastReportAt), expiresAt: Math.round(leaseExpiresAt) })
-    this._writer.append({ kind: 'lease-bound', worker: id, incarnation, term: this._term, at: this._fleetTime.now(), expiresAt: this._fleetTime.fromLocal(leaseExpiresAt), address, refusesConnections, hasSuccessor })
+    if (lastReportAt > 0) this._log.emit('lease bound recorded', { worker: id, incarnation, runs: worker.tasks.size, heardAt: Math.round(lastReportAt), expiresAt: Math.round(leaseExpiresAt), startsExpireAt: Math.round(runsExpireAt) })
+    this._writer.append({ kind: 'lease-bound', worker: id, incarnation, term: this._term, at: this._fleetTime.now(), expiresAt: this._fleetTime.fromLocal(leaseExpiresAt), startsExpireAt: this._fleetTime.fromLocal(runsExpireAt), address, refusesConnections, hasSuccessor })
   }
 
   /** Logs by when the leases of the workers that have not reported yet have expired, and how many of their runs wait for that even if the platform shows the worker's end. */
   private _logInherited (occupied: readonly FleetWorker[], unheard: readonly FleetWorker[]): void {
     const runs = unheard.flatMap(({ tasks }) => [...tasks])
-    const expiries = unheard.map(({ leaseExpiresAt }) => Math.round(leaseExpiresAt)).sort((left, right) => left - right)
+    const expiries = unheard.map(({ runsExpireAt }) => Math.round(runsExpireAt)).sort((left, right) => left - right)
     this._log.emit('leases inherited', {
       workers: occupied.length,
       unheard: unheard.length,
--- a/src/leases/lease-renewal-task.ts
+++ b/src/leases/lease-renewal-task.ts
@@ -93,7 +93,7 @@
       const request = {
         leaseDeadline: this._mayRenewLease() ? worker.extendLeaseDeadline(requestedAt, this._leaseMilliseconds) : null,
         // After a failed call another incarnation may respond, whose completions reuse the same sequence numbers.
-        acknowledged: this._consecutiveFailures === 0 ? worker.acknowledgedSequence : 0,
+        acknowledged: this._consecutiveFailures === 0 && !worker.isRestartSuspected ? worker.acknowledgedSequence : 0,
         waitMilliseconds: longPollMilliseconds
       }
       const { client } = worker
@@ -124,13 +124,13 @@
    * the stop that follows, or whose reports prove nothing, would keep the task for ever if its lease went on.
    */
   private _mayRenewLease (): boolean {
-    return this._consecutiveFailures === 0 && !this._worker.hasLeaseBound && !this._worker.hasOnlyUnsettledRuns && this._permit.isGranted
+    return this._consecutiveFailures === 0 && !this._worker.isRestartSuspected && !this._worker.hasLeaseBound && !this._worker.hasOnlyUnsettledRuns && this._permit.isGranted
   }
 
   private _longPollMilliseconds (): number {
-    const { lastReportAt, appliedSequence, acknowledgedSequence, hasLeaseBound, isFenceUnconfirmed, tasks } = this._worker
+    const { lastReportAt, appliedSequence, acknowledgedSequence, hasLeaseBound, isFenceUnconfirmed, isRestartSuspected, tasks } = this._worker
     // After a failed call, the next response shows at once that the worker is back, while its lease still runs.
-    if (lastReportAt === 0 || !this._permit.isInForce || this._consecutiveFailures > 0 || hasLeaseBound || isFenceUnconfirmed || appliedSequence !== acknowledgedSequence) return 0
+    if (lastReportAt === 0 || !this._permit.isInForce || this._consecutiveFailures > 0 || hasLeaseBound || isFenceUnconfirmed || isRestartSuspected || appliedSequence !== acknowledgedSequence) return 0
     // An idle worker has no lease to extend, but its responses count as well for whether leases may be extended without the store.
     return tasks.size === 0 ? this._permit.limitWaitForResumption(IDLE_LONG_POLL_MILLISECONDS) : this._permit.limitWait(LONG_POLL_MILLISECONDS)
   }
@@ -194,7 +194,7 @@
   }
 
   /**
-   * Returns a signal that ends a call or a pause early once the worker is known to have restarted: until the new incarnation has been called it may carry out late starts.
+   * Returns a signal that ends a call or a pause early once the worker has restarted, or has probably done so: until the new incarnation has been called it may carry out late starts.
    * All calls to an incarnation share it, because a signal for each costs noticeable processor time.
    */
   private _untilRestart (signal: AbortSignal): AbortSignal {
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -121,7 +121,7 @@
       (worker, task, run) => new StopRunTask(worker, task, run, outcomes, onLost, clock, random, log)
     )
     const advice: AdviceTask = new AdviceTask(advisor, () => schedule.markChanged(), clock, metrics, log)
-    const workerTable: WorkerTable = new WorkerTable(configuration, new InheritedLeases(leaseMilliseconds, earlierOwners, clock, log), earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
+    const workerTable: WorkerTable = new WorkerTable(configuration, new InheritedLeases(leaseMilliseconds, timings.maximumLeaseMilliseconds, earlierOwners, clock, log), earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
     const copies = new TaskCopies(new RunDurations(), clock, metrics)
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -25,7 +25,7 @@
 const HolderEndValue = z.object({ holder: z.string() })
 
 const OutcomeValue = z.object({ queue: z.string(), state: z.enum(['completed', 'failed', 'cancelled']) })
-const LeaseBoundValue = z.object({ incarnation: z.number(), term: z.number(), at: z.number(), expiresAt: z.number(), address: z.string().optional(), refusesConnections: z.boolean().optional(), hasSuccessor: z.boolean().optional() })
+const LeaseBoundValue = z.object({ incarnation: z.number(), term: z.number(), at: z.number(), expiresAt: z.number(), startsExpireAt: z.number().optional(), address: z.string().optional(), refusesConnections: z.boolean().optional(), hasSuccessor: z.boolean().optional() })
 
 const TOMBSTONE = Buffer.alloc(0)
 
--- a/src/runs/start-outcome-handler.ts
+++ b/src/runs/start-outcome-handler.ts
@@ -25,14 +25,25 @@
     private readonly _clock: Clock, private readonly _metrics: Metrics, private readonly _log: DecisionLog
   ) {}
 
-  /** Records that the worker accepted the start order. */
-  startAccepted (task: ScheduledTask, run: number): void {
-    if (task.run !== run || task.worker === null) return
-    this._outcomes.startAccepted(task.worker)
+  /**
+   * Records that the worker accepted the start order, in the incarnation that is known unless the reading of its clock says otherwise.
+   *
+   * @param sentAt epoch milliseconds at which the order was sent.
+   * @param workerClock that reading, in milliseconds; null if the response has none.
+   */
+  startAccepted (task: ScheduledTask, worker: FleetWorker, run: number, sentAt: number, workerClock: number | null): void {
+    if (task.run !== run || task.worker !== worker) return
+    const now = this._clock.now()
+    const isFromOther = workerClock === null ? null : worker.clockEstimate.isFromOther(workerClock, sentAt, now)
+    this._outcomes.startAccepted(worker)
     task.hasBegun = true
     if (task.runState === 'starting') task.runState = 'running'
-    task.confirmedAt = this._clock.now()
-    this._schedule.recordStart(task)
+    task.confirmedAt = now
+    task.startCallEndsAt = now
+    if (!task.isReported) task.evidenceFrom = isFromOther === false ? 0 : now
+    if (isFromOther) this._restartSuspected(task, worker, workerClock)
+    // On its way, as far as later owners may conclude from the end of the known incarnation.
+    if (task.evidenceFrom === 0) this._schedule.recordStart(task)
   }
 
   /** Requeues a task whose start order was refused or never sent: the run does not exist. */
@@ -58,6 +69,7 @@
     worker.unsettledRuns.set(`${task.name}/${run}`, token)
     worker.avoidedUntil = this._clock.now() + AVOIDANCE_MILLISECONDS
     if (task.run !== run || task.worker === null) return
+    task.startCallEndsAt = this._clock.now()
     this._metrics.count('runs.unsettled')
     this._log.emit('start unsettled', { task: task.name, run, worker: task.workerId, token })
     task.hasBegun = true
@@ -83,4 +95,12 @@
   stopRefused (worker: FleetWorker, taskName: string, run: number): void {
     worker.unsettledRuns.delete(`${taskName}/${run}`)
   }
+
+  /** The worker is called at once: only a report names the incarnation. */
+  private _restartSuspected ({ name, run }: ScheduledTask, worker: FleetWorker, workerClock: number | null): void {
+    const { earliest, latest } = worker.clockEstimate.read(this._clock.now())
+    this._metrics.count('workers.suspected_restarts')
+    this._log.emit('start accepted by another incarnation', { task: name, run, worker: worker.entry.id, known: worker.entry.incarnation, clock: workerClock, earliest: Math.round(earliest), latest: Math.round(latest) })
+    worker.suspectRestart(this._clock.now())
+  }
 }
--- a/src/runs/start-run-task.ts
+++ b/src/runs/start-run-task.ts
@@ -42,13 +42,15 @@
     const span = trace.getTracer('samphireglade').startSpan('start run', { attributes: { task: name, run, worker: worker.entry.id } }, context.active())
     const sentAt = this._clock.now()
     const token = client?.fence.token ?? 0
+    const deadline = sentAt + this._pace.responseMilliseconds
     task.startToken = token
-    const response = client ? await client.start(order, worker.leaseDeadline, sentAt + this._pace.responseMilliseconds, NEVER_ABORTED) : null
+    task.startCallEndsAt = deadline
+    const response = client ? await client.start(order, worker.leaseDeadline, deadline, NEVER_ABORTED) : null
     this._metrics.timing('runs.start.milliseconds', this._clock.now() - sentAt)
     if (response?.isLeft()) span.setStatus({ code: SpanStatusCode.ERROR })
     span.end()
     if (response?.isRight()) {
-      this._outcomes.startAccepted(task, run)
+      this._outcomes.startAccepted(task, worker, run, sentAt, response.unsafeCoerce())
       return
     }
     const error = response ? response.extract() as WorkerError : null
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -163,6 +163,8 @@
   recordReported (now: number, workerClock: number): void {
     this.hasBegun = true
     this.isReported = true
+    this.evidenceFrom = 0
+    if (this.worker) this.incarnation = this.worker.entry.incarnation
     if (this.runState === 'inherited' || this.runState === 'starting') this.runState = 'running'
     this.confirmedAt = Math.min(this.confirmedAt, now)
     if (this.startOrderedAt !== 0) return
--- a/src/scheduling/task-run.ts
+++ b/src/scheduling/task-run.ts
@@ -24,6 +24,13 @@
   runState: RunState = 'inherited'
   /** Epoch milliseconds after which a report without the run proves that the run does not exist; Infinity while unknown. */
   confirmedAt = Infinity
+  /**
+   * Epoch milliseconds from which on evidence that the worker has ended counts for the current run: 0 if the run certainly began on the incarnation that is known, or never did, the time by which it had
+   * begun if that may have been on the next one, Infinity while nothing tells whether and where it has begun. An incarnation that has ended says nothing of a run on the next one.
+   */
+  evidenceFrom: number
+  /** Epoch milliseconds at which the call with the start order ended, or ends at the latest; 0 before it was sent, or if another owner sent it. */
+  startCallEndsAt = 0
   /** Epoch milliseconds at which the start order of the current run was sent, or of the first report if another owner sent it; 0 before. */
   startOrderedAt = 0
   /** Fencing token of the start order of the current run; Infinity before it was sent, or if another owner sent it. */
@@ -55,6 +62,7 @@
     this.isStarted = progress?.isStarted ?? false
     this.isReported = progress?.isReported ?? false
     this.placementNumber = progress?.placementNumber ?? 0
+    this.evidenceFrom = 0
   }
 
   /** Whether the current run has certainly begun: its worker accepted its start or has reported it. */
@@ -73,6 +81,8 @@
     this.isReported = false
     this.runState = 'intended'
     this.confirmedAt = Infinity
+    this.evidenceFrom = Infinity
+    this.startCallEndsAt = 0
     this.startOrderedAt = 0
     this.startToken = Infinity
     this.earlierMilliseconds = 0
--- a/src/workers/fleet-worker.ts
+++ b/src/workers/fleet-worker.ts
@@ -4,6 +4,7 @@
 import { WORKER_CLOCK_RATE } from '../jobs/worker-clock-rate.js'
 import { INITIAL_HEALTH } from '../worker-health/initial-health.js'
 import type { ScheduledTask } from '../scheduling/scheduled-task.js'
+import type { TaskRun } from '../scheduling/task-run.js'
 import type { WorkerClient } from '../workers/worker-client.js'
 import { WorkerClockEstimate } from '../workers/worker-clock-estimate.js'
 import type { WorkerEntry } from '../workers/worker-entry.js'
@@ -59,12 +60,16 @@
   unreachableSince = 0
   /** Epoch milliseconds of the last failed call, also if it has reported since; 0 if none has failed. */
   failedCallAt = 0
+  /** Whether a response has come from another clock than the reports: the next incarnation is probably there, which nothing may be acknowledged to, and whose clock isn't known. */
+  isRestartSuspected = false
   /** Whether a connection to the worker has been refused since the last report: nothing listens at its address, or a network device says so. */
   refusesConnections = false
   /** Whether the journal has, or is about to have, a bound on its leases: none is extended. */
   hasLeaseBound = false
   /** Epoch milliseconds by which its leases have expired according to that bound. */
   boundExpiresAt = 0
+  /** Epoch milliseconds by which leases have expired that unsettled starts of earlier owners may have set on the next incarnation; 0 if the journal says nothing. */
+  inheritedStartsExpireAt = 0
   /** Whether its withdrawal has been decided on. */
   isBoundWithdrawn = false
   /** Whether that bound says that the worker refuses connections, and that it has a successor. */
@@ -92,13 +97,14 @@
   /**
    * @param _unknownLeasesExpireAt epoch milliseconds by which leases requested by other owners have expired.
    * @param _inheritedStartsOverAt epoch milliseconds by which no start of theirs is on its way any more.
+   * @param _maximumLeaseMilliseconds longest lease that a worker accepts, on its own clock.
    */
-  constructor (entry: WorkerEntry, private _unknownLeasesExpireAt: number, private readonly _inheritedStartsOverAt: number) {
+  constructor (entry: WorkerEntry, private _unknownLeasesExpireAt: number, private readonly _inheritedStartsOverAt: number, private readonly _maximumLeaseMilliseconds: number) {
     super()
     this.entry = entry
   }
 
-  /** Aborted when the worker is known to have restarted. */
+  /** Aborted when the worker has restarted, as far as is known, or has probably done so. */
   get incarnationSignal (): AbortSignal {
     return this._incarnationEnd.signal
   }
@@ -138,7 +144,7 @@
    * keep their reservation until that incarnation reports, the start is over, or the lease has expired.
    */
   tasksOverWithIncarnation (now: number): ScheduledTask[] {
-    return now < this._inheritedStartsOverAt ? this.startedTasks : [...this.tasks].filter(({ isStarted, runState }) => isStarted || runState === 'inherited')
+    return [...this.tasks].filter(({ isStarted, isConfirmed, runState }) => isStarted || isConfirmed || (runState === 'inherited' && now >= this._inheritedStartsOverAt))
   }
 
   /** Whether its lease serves no run but such of which the start is unsettled: once it has expired, none of them runs or begins. */
@@ -161,9 +167,17 @@
     this._reportRequestedAt = requestedAt
     this.clockEstimate.record(workerClock, requestedAt, now)
     this.lastReportAt = now
+    this.isRestartSuspected = false
     this._clearFailedCalls()
   }
 
+  /** Ends the present call, which the previous incarnation won't answer, and keeps new tasks away until the next report. */
+  suspectRestart (now: number): void {
+    this.isRestartSuspected = true
+    this.suspectedSince = Math.max(this.suspectedSince, now)
+    this._endCall()
+  }
+
   /** Records that the worker has answered a call with a fencing token. */
   confirmToken (token: number): void {
     this._confirmedToken = Math.max(this._confirmedToken, token)
@@ -191,16 +205,17 @@
    * Switches to a new incarnation and resets the clock, lease and sequence numbers of the previous one.
    *
    * @param now epoch milliseconds.
-   * @param unknownLeasesExpireAt epoch milliseconds by which any lease that orders to the previous incarnation may have extended has expired.
+   * @param unknownLeasesExpireAt epoch milliseconds by which any lease that orders to the previous incarnation may have extended has expired, but for the starts of the tasks that stay.
    */
   startIncarnation (incarnation: number, now: number, unknownLeasesExpireAt: number): void {
+    // Their deadlines are on the clock of the previous incarnation, which says nothing on that of this one.
+    this._unknownLeasesExpireAt = Math.max(unknownLeasesExpireAt, ...[...this.tasks].map(run => this._startLeaseExpiresAt(run)))
     this.entry = { ...this.entry, incarnation }
     this.incarnationKnownAt = now
     this.isEntryCurrent = false
     this.hasOrphanedRuns = false
     this.unsettledRuns.clear()
     this._confirmedToken = 0
-    this._unknownLeasesExpireAt = unknownLeasesExpireAt
     this._hasInheritedLeases = false
     this._leaseDeadline = 0
     this._workerClockAtReport = 0
@@ -212,10 +227,9 @@
     this.hasLeaseBound = false
     this.isBoundWithdrawn = false
     this.responseOverdueAt = Infinity
+    this.isRestartSuspected = false
     this._clearFailedCalls()
-    const ended = this._incarnationEnd
-    this._incarnationEnd = new AbortController()
-    ended.abort(INCARNATION_ENDED)
+    this._endCall()
   }
 
   /** Lowers the time by which leases requested by other owners have expired, in epoch milliseconds. */
@@ -237,6 +251,31 @@
     return Math.max(ownLeaseExpiresAt, this._unknownLeasesExpireAt)
   }
 
+  /**
+   * Epoch milliseconds by which a run has ended unless the lease is renewed, whichever incarnation it is on. A start without a response counts for the known incarnation: the worker is silent, and
+   * nothing tells a restart from a partition, in which the run would wait for a lease that nobody has set.
+   */
+  expiryOf (run: TaskRun): number {
+    if (run.runState === 'inherited' && !run.isStarted) return Math.max(this.leaseExpiresAt, this.inheritedStartsExpireAt)
+    return run.evidenceFrom === 0 || run.runState === 'settling' ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this._startLeaseExpiresAt(run))
+  }
+
+  /** Epoch milliseconds by which that holds for all runs, also for those whose start is unsettled. */
+  get runsExpireAt (): number {
+    return Math.max(this.leaseExpiresAt, ...[...this.tasks].map(run => this.expiryOf(run)))
+  }
+
+  /** Epoch milliseconds by which a lease has expired that the start of a run has set on an incarnation whose clock isn't known. */
+  private _startLeaseExpiresAt ({ startCallEndsAt }: TaskRun): number {
+    return startCallEndsAt === 0 ? 0 : startCallEndsAt + this._maximumLeaseMilliseconds / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
+  }
+
+  private _endCall (): void {
+    const ended = this._incarnationEnd
+    this._incarnationEnd = new AbortController()
+    ended.abort(INCARNATION_ENDED)
+  }
+
   private _clearFailedCalls (): void {
     this.unreachableSince = 0
     this.refusesConnections = false
--- a/src/workers/lost-worker-detector.ts
+++ b/src/workers/lost-worker-detector.ts
@@ -1,6 +1,7 @@
 /**
  * Detection of workers that are lost with their runs.
  */
+import type { ScheduledTask } from '../scheduling/scheduled-task.js'
 import type { FleetWorker } from '../workers/fleet-worker.js'
 import type { LeaseBounds } from '../leases/lease-bounds.js'
 import type { WorkerEnds } from '../workers/worker-ends.js'
@@ -31,10 +32,10 @@
   private _checkEnds (now: number, nextCheckAt: number): boolean {
     const silent = [...this._workers.all].filter(worker => worker.isSilent && worker.tasksOverWithIncarnation(now).length > 0)
     if (silent.length > 0) this._ends.expectUntil(nextCheckAt)
-    const ended = silent.filter(worker => this._ends.endOf(worker) !== null)
+    const ended = silent.filter(worker => this._tasksShownToEnd(worker, now).length > 0)
     for (const worker of ended) {
       const end = this._endedWorkers.has(worker) ? this._ends.endOf(worker) : null
-      if (end !== null) this._losses.endShown(worker, end, worker.tasksOverWithIncarnation(now))
+      if (end !== null) this._losses.endShown(worker, end, this._tasksShownToEnd(worker, now))
     }
     const isAnyNew = ended.some(worker => !this._endedWorkers.has(worker))
     this._endedWorkers = new Set(ended)
@@ -44,10 +45,21 @@
   private _checkLeases (now: number): boolean {
     this._workers.refreshInheritedLeases()
     const isAnyOverdue = this._leaseBounds.refresh(this._workers.all, now)
-    const expired = [...this._workers.all].filter(worker => worker.tasks.size > 0 && worker.leaseExpiresAt < now && worker.hasBeenTried)
-    for (const worker of expired) if (this._expiredWorkers.has(worker)) this._losses.leaseExpired(worker)
+    const expired = [...this._workers.all].filter(worker => worker.hasBeenTried && this._tasksExpired(worker, now).length > 0)
+    for (const worker of expired) if (this._expiredWorkers.has(worker)) this._losses.leaseExpired(worker, this._tasksExpired(worker, now))
     const isAnyNew = isAnyOverdue || expired.some(worker => !this._expiredWorkers.has(worker))
     this._expiredWorkers = new Set(expired)
     return isAnyNew
   }
+
+  /** Tasks whose runs are over because the platform shows the end of their worker, by what it says of the time after they began. */
+  private _tasksShownToEnd (worker: FleetWorker, now: number): ScheduledTask[] {
+    return worker.tasksOverWithIncarnation(now).filter(({ evidenceFrom }) => this._ends.endOf(worker, evidenceFrom) !== null)
+  }
+
+  /** Tasks whose runs are over because no lease serves them any more. */
+  private _tasksExpired (worker: FleetWorker, now: number): ScheduledTask[] {
+    if (worker.tasks.size === 0 || worker.leaseExpiresAt >= now) return []
+    return [...worker.tasks].filter(task => worker.expiryOf(task) < now)
+  }
 }
--- a/src/workers/worker-ends.ts
+++ b/src/workers/worker-ends.ts
@@ -8,8 +8,10 @@
   /**
    * Returns whether the present incarnation of a worker has certainly ended: `by-order` if an order took its VM down, `unexplained` otherwise, null while
    * that isn't known. An end that has been returned holds for good; another incarnation under the ID may follow.
+   *
+   * @param since epoch milliseconds after which no incarnation under the ID may have been there either, as far as the platform was asked after that.
    */
-  abstract endOf (worker: FleetWorker): 'by-order' | 'unexplained' | null
+  abstract endOf (worker: FleetWorker, since?: number): 'by-order' | 'unexplained' | null
 
   /** Asks the platform more often until `deadline` (epoch milliseconds). */
   abstract expectUntil (deadline: number): void
--- a/src/workers/worker-loss-handler.ts
+++ b/src/workers/worker-loss-handler.ts
@@ -33,7 +33,7 @@
    * Handles proof that an incarnation of a worker has ended. Unless its end was planned it has crashed.
    *
    * @param lost the tasks whose runs ended with it; those of the worker's other tasks may be on its next incarnation.
-   * @param survivors the tasks whose runs certainly are.
+   * @param survivors the tasks whose runs certainly are, or were accepted after its end.
    */
   incarnationEnded (worker: FleetWorker, cause: 'replaced' | 'worker restarted', lost: readonly ScheduledTask[], survivors: readonly ScheduledTask[] = []): void {
     const isCrash = this._isUnplanned(worker)
@@ -47,14 +47,13 @@
   }
 
   /**
-   * Handles the expiry of a worker's lease: the worker has killed its runs, or it has ended. One that refused connections until then has crashed if another
+   * Handles the expiry of a worker's lease: the worker has killed the runs of the tasks in `lost`, or it has ended. One that refused connections until then has crashed if another
    * incarnation takes its place, which a later owner may see.
    */
-  leaseExpired (worker: FleetWorker): void {
-    if (worker.tasks.size === 0) return
+  leaseExpired (worker: FleetWorker, lost: readonly ScheduledTask[]): void {
     const crashes = worker.refusesConnections && this._isUnplanned(worker) ? this._attribution.attribute(worker) : []
     this._logLoss('worker lease expired', worker, 'lease expired', crashes)
-    this._release(worker, [...worker.tasks], 'lease expired', crashes)
+    this._release(worker, lost, 'lease expired', crashes)
   }
 
   /**
@@ -125,7 +124,7 @@
       unreachableSince: Math.round(unreachableSince),
       registryAt: Math.round(this._registryFreshAt()),
       suspects: crashes.filter(({ role }) => role !== 'bystander').length,
-      runs: [...tasks].map(({ name, run, runState, startOrderedAt }) => `${name}/${run} ${runState} ${startOrderedAt === 0 ? 'inherited' : Math.round(lastReportAt - startOrderedAt)}`)
+      runs: [...tasks].map(({ name, run, runState, evidenceFrom, startOrderedAt }) => `${name}/${run} ${runState}${evidenceFrom === 0 ? '' : ' on an unknown incarnation'} ${startOrderedAt === 0 ? 'inherited' : Math.round(lastReportAt - startOrderedAt)}`)
     })
   }
 }
--- a/src/workers/worker-reconciler.ts
+++ b/src/workers/worker-reconciler.ts
@@ -38,7 +38,7 @@
       this._log.emit('contradictory worker entry ignored', { worker: entry.id, incarnation: entry.incarnation, pool: entry.pool, address: entry.address })
       return known
     }
-    if (known && known.entry.incarnation < entry.incarnation) this._startIncarnation(known, entry.incarnation, null)
+    if (known && known.entry.incarnation < entry.incarnation) this._startIncarnation(known, entry.incarnation, null, 0)
     if (!known) for (const predecessor of this._workers.unreachableAtAddress(entry)) predecessor.hasSuccessor = true
     const worker = this._workers.applyEntry(entry)
     this._losses.workerListed(entry)
@@ -53,7 +53,9 @@
    * @param token fencing token of that request: the report must contain all runs whose start carried a lower one and will ever begin.
    */
   applyReport (worker: FleetWorker, report: WorkerReport, requestedAt: number, token: number): void {
-    if (report.incarnation !== 0 && report.incarnation !== worker.entry.incarnation) this._startIncarnation(worker, report.incarnation, report)
+    // A response that was on its way when the restart became known.
+    if (report.incarnation !== 0 && report.incarnation < worker.entry.incarnation && requestedAt < worker.incarnationKnownAt) return
+    if (report.incarnation !== 0 && report.incarnation !== worker.entry.incarnation) this._startIncarnation(worker, report.incarnation, report, requestedAt)
     const heardAt = worker.lastReportAt
     this._workers.recordReport(worker, report.clock, requestedAt)
     this._losses.workerReported(worker.entry)
@@ -134,25 +136,36 @@
    * Switches a worker to a new incarnation, in which only runs started since its restart exist, such as those that it has reported.
    *
    * @param report first report of the new incarnation, or null if the registry has shown it.
+   * @param requestedAt epoch milliseconds at which that report was requested.
    */
-  private _startIncarnation (worker: FleetWorker, incarnation: number, report: WorkerReport | null): void {
+  private _startIncarnation (worker: FleetWorker, incarnation: number, report: WorkerReport | null, requestedAt: number): void {
     this._log.emit('worker restarted', { worker: worker.entry.id, from: worker.entry.incarnation, to: incarnation, runs: worker.tasks.size })
     const reported = report ? [...report.running, ...report.ended] : []
     // Another owner may have started a run on the new incarnation; its completion may be in a part of the report that follows.
     const mayFollow = (task: ScheduledTask): boolean => task.runState === 'inherited' && report?.isComplete === false
     const survivors = [...worker.tasks].filter(task => mayFollow(task) || reported.some(other => other.task === task.name && other.run === task.run))
-    // Until this owner has called the new incarnation, a start that was sent to the previous one may still begin there, or may have.
-    const ended = report ? [...worker.tasks].filter(({ runState }) => runState !== 'starting' && runState !== 'settling' && runState !== 'intended') : [...worker.tasks].filter(({ isReported }) => isReported)
-    const lost = ended.filter(task => !survivors.includes(task))
-    this._losses.incarnationEnded(worker, 'worker restarted', lost, survivors)
+    const lost = [...worker.tasks].filter(task => !survivors.includes(task) && this._isLostWithIncarnation(task, report, requestedAt))
+    const accepted = [...worker.tasks].filter(task => task.isConfirmed && !lost.includes(task))
+    this._losses.incarnationEnded(worker, 'worker restarted', lost, [...survivors, ...accepted])
     worker.startIncarnation(incarnation, this._clock.now(), this._workers.unknownLeasesExpireAt)
     for (const task of worker.tasks) {
       if (task.runState === 'intended') continue
       task.incarnation = incarnation
       task.placedAtClock = 0
       task.isReported = false
+      // The previous incarnation may have answered the stop.
+      if (task.runState === 'settling') task.confirmedAt = Infinity
       this._schedule.writeProgress(task)
     }
     this._schedule.markChanged()
   }
+
+  /**
+   * Whether the run of a task has ended with the previous incarnation of its worker. Until this owner has called the new one, a start that was sent to the previous one may still begin there, or may
+   * have: then only a report shows that it hasn't which was requested after the start had been accepted.
+   */
+  private _isLostWithIncarnation ({ runState, isReported, isConfirmed, evidenceFrom }: ScheduledTask, report: WorkerReport | null, requestedAt: number): boolean {
+    if (runState === 'inherited') return report !== null || isReported
+    return isConfirmed && (evidenceFrom === 0 || (report?.isComplete === true && evidenceFrom < requestedAt))
+  }
 }
--- a/src/workers/worker-table.ts
+++ b/src/workers/worker-table.ts
@@ -101,12 +101,12 @@
   }
 
   /**
-   * Returns whether a start may be sent to a worker now: it is schedulable, and its capacity is known. Where workers don't refuse what exceeds their
+   * Returns whether a start may be sent to a worker now: it is schedulable, the journal has no bound on its leases, which wouldn't cover the start, and its capacity is known. Where workers don't refuse what exceeds their
    * capacity, a capacity that may have shrunk since counts as unknown.
    */
   mayStart (worker: FleetWorker, now: number): boolean {
     const isCapacityKnown = this._configuration.pool(worker.entry.pool)?.rejectsOverload === true || this._registryFreshAt() > now - MAXIMUM_CAPACITY_AGE_MILLISECONDS
-    return this.isSchedulable(worker) && worker.isEntryCurrent && isCapacityKnown
+    return this.isSchedulable(worker) && worker.isEntryCurrent && !worker.hasLeaseBound && isCapacityKnown
   }
 
   /** Returns whether new tasks may be placed on a worker now: it may be sent starts, and is reachable, under a lease and not in cooldown. */
@@ -183,8 +183,9 @@
 
   /** Creates a worker with the leases that earlier owners may have requested. */
   private _create (entry: WorkerEntry): FleetWorker {
-    const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation), this._inheritedLeases.startsOverAt)
+    const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation), this._inheritedLeases.startsOverAt, this._inheritedLeases.maximumMilliseconds)
     worker.hasLeaseBound = this._earlierOwners.leaseBound(entry.id, entry.incarnation) !== null
+    worker.inheritedStartsExpireAt = this._inheritedLeases.startsExpiryOf(entry.id, entry.incarnation)
     worker.boundExpiresAt = Infinity
     worker.incarnationKnownAt = this._clock.now()
     worker.isCordoned = this._cordonedIds.has(entry.id)
