Allow for the longest lease on a worker that has restarted

The longest lease counts for all runs of an incarnation now, from when the owner learns of it and from the end of the calls under way. What tells whether a worker can be reached moves into WorkerContact.

--- a/src/workers/fleet-worker.ts
+++ b/src/workers/fleet-worker.ts
@@ -5,19 +5,15 @@
 import { INITIAL_HEALTH } from '../worker-health/initial-health.js'
 import type { ScheduledTask } from '../scheduling/scheduled-task.js'
 import type { TaskRun } from '../scheduling/task-run.js'
-import type { WorkerClient } from '../workers/worker-client.js'
 import { WorkerClockEstimate } from '../workers/worker-clock-estimate.js'
+import { WorkerContact } from './worker-contact.js'
 import type { WorkerEntry } from '../workers/worker-entry.js'
-import { WorkerReservations } from '../workers/worker-reservations.js'
 
 /** Allows for the time that a worker takes to kill its runs after its lease has expired. */
 const LEASE_EXPIRY_MARGIN_MILLISECONDS = 150
 
-/** Reason for giving up what waits for an incarnation. Node would otherwise create an error with a stack trace for each. */
-const INCARNATION_ENDED = new Error('the worker has restarted')
-
 /** Reservations, clock and lease of a worker in its current incarnation. */
-export class FleetWorker extends WorkerReservations {
+export class FleetWorker extends WorkerContact {
   override entry: WorkerEntry
   /** Whether the registry has shown the entry of the present incarnation. */
   isEntryCurrent = true
@@ -39,8 +35,6 @@
   health = INITIAL_HEALTH
   /** Epoch milliseconds until which other workers go before it, because a start got no response or runs failed in a row. */
   avoidedUntil = 0
-  /** Epoch milliseconds since which the worker may be unreachable: it gets nothing new before a later report. */
-  suspectedSince = 0
   /** Run completions up to this sequence number are in the journal. */
   acknowledgedSequence = 0
   /** Run completions up to this sequence number have been applied to the schedule. */
@@ -52,18 +46,6 @@
   readonly unsettledRuns = new Map<string, number>()
   /** Highest fencing token that the present incarnation is known to have seen: it carries out no order with a lower one. */
   private _confirmedToken = 0
-  /** Epoch milliseconds of the last report; 0 before the first under this term. */
-  lastReportAt = 0
-  /** Epoch milliseconds by which the next report must have arrived; 0 after a failed call. Past it, the worker gets nothing new. */
-  reportDueAt = 0
-  /** Epoch milliseconds of the first failed call since the last report; 0 if none has failed. */
-  unreachableSince = 0
-  /** Epoch milliseconds of the last failed call, also if it has reported since; 0 if none has failed. */
-  failedCallAt = 0
-  /** Whether a response has come from another clock than the reports: the next incarnation is probably there, which nothing may be acknowledged to, and whose clock isn't known. */
-  isRestartSuspected = false
-  /** Whether a connection to the worker has been refused since the last report: nothing listens at its address, or a network device says so. */
-  refusesConnections = false
   /** Whether the journal has, or is about to have, a bound on its leases: none is extended. */
   hasLeaseBound = false
   /** Epoch milliseconds by which its leases have expired according to that bound. */
@@ -75,10 +57,6 @@
   /** Whether that bound says that the worker refuses connections, and that it has a successor. */
   isRefusalRecorded = false
   isSuccessorRecorded = false
-  /** Epoch milliseconds from which on the response to the present call is late; Infinity while none is awaited. */
-  responseOverdueAt = Infinity
-  /** Whether another worker has named its address while it refused connections: unless it reports again, it has ended. */
-  hasSuccessor = false
   /** What its clock shows, for the owners after this one. */
   readonly clockEstimate = new WorkerClockEstimate()
   /** Lower bound on the worker's clock at `lastReportAt`. */
@@ -87,10 +65,6 @@
   private _reportRequestedAt = 0
   /** Latest lease deadline that may have reached the worker, on the worker's clock. */
   private _leaseDeadline = 0
-  /** Client for calls to the worker; null for a placeholder and after its lease renewal has ended. */
-  client: WorkerClient | null = null
-
-  private _incarnationEnd = new AbortController()
   /** Whether other owners may have renewed leases of this incarnation. */
   private _hasInheritedLeases = true
 
@@ -104,11 +78,6 @@
     this.entry = entry
   }
 
-  /** Aborted when the worker has restarted, as far as is known, or has probably done so. */
-  get incarnationSignal (): AbortSignal {
-    return this._incarnationEnd.signal
-  }
-
   /** Rack of the worker: the second label, after the kind of VM; empty if unknown. */
   get rack (): string {
     return this.entry.labels[1] ?? ''
@@ -129,11 +98,6 @@
     return !this.isListed || this.lastReportAt > 0 || this.unreachableSince > 0
   }
 
-  /** Whether the worker doesn't respond: a call has failed since its last report, or there is nowhere to call it. */
-  get isSilent (): boolean {
-    return this.unreachableSince > 0 || (this.client === null && this.lastReportAt === 0)
-  }
-
   /** Tasks whose runs have started, and so end with the incarnation. */
   get startedTasks (): ScheduledTask[] {
     return [...this.tasks].filter(({ isStarted }) => isStarted)
@@ -168,14 +132,7 @@
     this.clockEstimate.record(workerClock, requestedAt, now)
     this.lastReportAt = now
     this.isRestartSuspected = false
-    this._clearFailedCalls()
-  }
-
-  /** Ends the present call, which the previous incarnation won't answer, and keeps new tasks away until the next report. */
-  suspectRestart (now: number): void {
-    this.isRestartSuspected = true
-    this.suspectedSince = Math.max(this.suspectedSince, now)
-    this._endCall()
+    this.clearFailedCalls()
   }
 
   /** Records that the worker has answered a call with a fencing token. */
@@ -184,32 +141,20 @@
     for (const [run, startToken] of this.unsettledRuns) if (startToken < token) this.unsettledRuns.delete(run)
   }
 
-  /** Returns whether the response to the present call is late, so that it may not come. */
-  isResponseOverdue (now: number): boolean {
-    return now >= this.responseOverdueAt && this.tasks.size > 0
-  }
-
   /** Epoch milliseconds at which the last report was requested; 0 if this incarnation has not reported. */
   get reportRequestedAt (): number {
     return this._reportRequestedAt
   }
 
-  /** Records a failed call. */
-  recordFailedCall (isConnectionRefused: boolean, now: number): void {
-    this.failedCallAt = now
-    if (this.unreachableSince === 0) this.unreachableSince = now
-    if (isConnectionRefused) this.refusesConnections = true
-  }
-
   /**
    * Switches to a new incarnation and resets the clock, lease and sequence numbers of the previous one.
    *
    * @param now epoch milliseconds.
-   * @param unknownLeasesExpireAt epoch milliseconds by which any lease that orders to the previous incarnation may have extended has expired, but for the starts of the tasks that stay.
+   * @param unknownLeasesExpireAt epoch milliseconds by which any lease that orders to the previous incarnation may have extended has expired, unless they reached this one.
    */
   startIncarnation (incarnation: number, now: number, unknownLeasesExpireAt: number): void {
-    // Their deadlines are on the clock of the previous incarnation, which says nothing on that of this one.
-    this._unknownLeasesExpireAt = Math.max(unknownLeasesExpireAt, ...[...this.tasks].map(run => this._startLeaseExpiresAt(run)))
+    // Orders that reach this incarnation have deadlines on the clock of the previous one, by which it may set its longest lease.
+    this._unknownLeasesExpireAt = Math.max(unknownLeasesExpireAt, this._longestLeaseExpiresAt(Math.max(now, ...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt))))
     this.entry = { ...this.entry, incarnation }
     this.incarnationKnownAt = now
     this.isEntryCurrent = false
@@ -228,8 +173,8 @@
     this.isBoundWithdrawn = false
     this.responseOverdueAt = Infinity
     this.isRestartSuspected = false
-    this._clearFailedCalls()
-    this._endCall()
+    this.clearFailedCalls()
+    this.endCall()
   }
 
   /** Lowers the time by which leases requested by other owners have expired, in epoch milliseconds. */
@@ -257,7 +202,7 @@
    */
   expiryOf (run: TaskRun): number {
     if (run.runState === 'inherited' && !run.isStarted) return Math.max(this.leaseExpiresAt, this.inheritedStartsExpireAt)
-    return run.evidenceFrom === 0 || run.runState === 'settling' ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this._startLeaseExpiresAt(run))
+    return run.evidenceFrom === 0 || run.runState === 'settling' ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this._longestLeaseExpiresAt(run.startCallEndsAt))
   }
 
   /** Epoch milliseconds by which that holds for all runs, also for those whose start is unsettled. */
@@ -265,20 +210,8 @@
     return Math.max(this.leaseExpiresAt, ...[...this.tasks].map(run => this.expiryOf(run)))
   }
 
-  /** Epoch milliseconds by which a lease has expired that the start of a run has set on an incarnation whose clock isn't known. */
-  private _startLeaseExpiresAt ({ startCallEndsAt }: TaskRun): number {
-    return startCallEndsAt === 0 ? 0 : startCallEndsAt + this._maximumLeaseMilliseconds / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
-  }
-
-  private _endCall (): void {
-    const ended = this._incarnationEnd
-    this._incarnationEnd = new AbortController()
-    ended.abort(INCARNATION_ENDED)
-  }
-
-  private _clearFailedCalls (): void {
-    this.unreachableSince = 0
-    this.refusesConnections = false
-    this.hasSuccessor = false
+  /** Returns the epoch milliseconds by which a lease has expired that an order carried out by `time` has set on an incarnation whose clock isn't known. */
+  private _longestLeaseExpiresAt (time: number): number {
+    return time + this._maximumLeaseMilliseconds / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
   }
 }
