Close the review's cases: young incarnations, takeovers, repeated acknowledgements

A reading of the clock names the known incarnation only if one that began after the last report couldn't show it. Inherited starts that aren't settled are bounded by the longest lease from the claim on.

--- a/src/leases/inherited-leases.ts
+++ b/src/leases/inherited-leases.ts
@@ -8,7 +8,7 @@
 
 /**
  * Allows for the time that a worker takes to kill its runs, and for the drift of its clock since the report by which an owner set the lease. Orders in flight extend no
- * lease, because its deadline is set on the worker's clock when they are sent.
+ * lease of the incarnation that they are meant for, because its deadline is set on the worker's clock when they are sent.
  */
 const EXPIRY_MARGIN_MILLISECONDS = 300
 
@@ -55,9 +55,9 @@
     return Math.min(this._expireAt, this._earlierOwners.leaseBound(worker, incarnation) ?? Infinity)
   }
 
-  /** Returns the epoch milliseconds by which leases have expired that unsettled starts may have set on the incarnation after that one; 0 if the journal says nothing. */
-  startsExpiryOf (worker: string, incarnation: number): number {
-    return this._earlierOwners.startsBound(worker, incarnation)
+  /** Returns the epoch milliseconds by which leases have expired that unsettled starts of earlier owners may have set on the next incarnation of a worker. */
+  startsExpiryOf (worker: string): number {
+    return Math.max(this._earlierOwners.claimedAt + this.maximumMilliseconds / WORKER_CLOCK_RATE.slowest + EXPIRY_MARGIN_MILLISECONDS, this._earlierOwners.startsBound(worker))
   }
 
   /** Applies what has become known of earlier owners. Returns whether any lease may have turned out to expire earlier. */
--- a/src/leases/lease-renewal-task.ts
+++ b/src/leases/lease-renewal-task.ts
@@ -93,7 +93,7 @@
       const request = {
         leaseDeadline: this._mayRenewLease() ? worker.extendLeaseDeadline(requestedAt, this._leaseMilliseconds) : null,
         // After a failed call another incarnation may respond, whose completions reuse the same sequence numbers.
-        acknowledged: this._consecutiveFailures === 0 && !worker.isRestartSuspected ? worker.acknowledgedSequence : 0,
+        acknowledged: this._consecutiveFailures === 0 && !worker.isRestartSuspected && worker.acknowledgedSequence > worker.answeredSequence ? worker.acknowledgedSequence : 0,
         waitMilliseconds: longPollMilliseconds
       }
       const { client } = worker
@@ -109,6 +109,7 @@
         continue
       }
       this._recordSuccess()
+      worker.answeredSequence = Math.max(worker.answeredSequence, request.acknowledged)
       this._reconciler.applyReport(worker, response.unsafeCoerce(), requestedAt, token)
       if (worker.hasLeaseBound) this._leaseBounds.withdraw(worker)
       await this._permit.untilInForce(this._clock.now() + TAKEOVER_WAIT_MILLISECONDS, signal)
--- a/src/ownership/earlier-owners.ts
+++ b/src/ownership/earlier-owners.ts
@@ -83,10 +83,9 @@
     return bound.term === renewingTerm ? Math.min(bound.expiresAtLatest, this._toLocal(bound.expiresAt)) : bound.expiresAtLatest
   }
 
-  /** Returns the epoch milliseconds by which runs whose start is unsettled have expired, according to the bound on the leases of a worker; 0 without such a bound. */
-  startsBound (worker: string, incarnation: number): number {
-    const bound = this._jobTable.leaseBounds.of(worker)
-    return bound?.incarnation === incarnation ? bound.startsExpireAtLatest : 0
+  /** Returns the epoch milliseconds by which runs whose start is unsettled have expired, in whichever incarnation, according to the bound on the leases of a worker; 0 without such a bound. */
+  startsBound (worker: string): number {
+    return this._jobTable.leaseBounds.of(worker)?.startsExpireAtLatest ?? 0
   }
 
   /** Returns what the journal says of a worker that earlier owners couldn't reach, and whose entry the registry may no longer have. */
--- a/src/workers/fleet-worker.ts
+++ b/src/workers/fleet-worker.ts
@@ -37,6 +37,8 @@
   avoidedUntil = 0
   /** Run completions up to this sequence number are in the journal. */
   acknowledgedSequence = 0
+  /** Up to this one the worker has answered a call that acknowledged them; another call might reach the next incarnation, whose completions have the same numbers. */
+  answeredSequence = 0
   /** Run completions up to this sequence number have been applied to the schedule. */
   appliedSequence = 0
   /**
@@ -154,7 +156,7 @@
    */
   startIncarnation (incarnation: number, now: number, unknownLeasesExpireAt: number): void {
     // Orders that reach this incarnation have deadlines on the clock of the previous one, by which it may set its longest lease.
-    this._unknownLeasesExpireAt = Math.max(unknownLeasesExpireAt, this._longestLeaseExpiresAt(Math.max(now, ...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt))))
+    this._unknownLeasesExpireAt = Math.max(unknownLeasesExpireAt, this._longestLeaseExpiresAt(Math.max(now, this._startCallsEndAt)))
     this.entry = { ...this.entry, incarnation }
     this.incarnationKnownAt = now
     this.isEntryCurrent = false
@@ -168,6 +170,7 @@
     this.clockEstimate.reset(0)
     this.lastReportAt = 0
     this.acknowledgedSequence = 0
+    this.answeredSequence = 0
     this.appliedSequence = 0
     this.hasLeaseBound = false
     this.isBoundWithdrawn = false
@@ -202,7 +205,7 @@
    */
   expiryOf (run: TaskRun): number {
     if (run.runState === 'inherited' && !run.isStarted) return Math.max(this.leaseExpiresAt, this.inheritedStartsExpireAt)
-    return run.evidenceFrom === 0 || run.runState === 'settling' ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this._longestLeaseExpiresAt(run.startCallEndsAt))
+    return run.evidenceFrom === 0 || run.runState === 'settling' ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this._longestLeaseExpiresAt(this._startCallsEndAt))
   }
 
   /** Epoch milliseconds by which that holds for all runs, also for those whose start is unsettled. */
@@ -210,6 +213,11 @@
     return Math.max(this.leaseExpiresAt, ...[...this.tasks].map(run => this.expiryOf(run)))
   }
 
+  /** Epoch milliseconds by which the calls with the start orders of all runs have ended; a lease serves all of them. */
+  private get _startCallsEndAt (): number {
+    return Math.max(...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt))
+  }
+
   /** Returns the epoch milliseconds by which a lease has expired that an order carried out by `time` has set on an incarnation whose clock isn't known. */
   private _longestLeaseExpiresAt (time: number): number {
     return time + this._maximumLeaseMilliseconds / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
--- a/src/workers/worker-clock-estimate.ts
+++ b/src/workers/worker-clock-estimate.ts
@@ -13,6 +13,9 @@
   private _latest = Infinity
   /** Epoch milliseconds at which the two were true. */
   private _at = 0
+  /** Reading in the first report, and when the last one was requested. */
+  private _first = 0
+  private _requestedAt = 0
   /** Epoch milliseconds before which requests don't count. */
   private _validFrom = 0
 
@@ -25,6 +28,8 @@
   record (clock: number, requestedAt: number, receivedAt: number): void {
     if (requestedAt < this._validFrom) return
     const earlier = this.read(receivedAt)
+    if (!this.isKnown) this._first = clock
+    this._requestedAt = requestedAt
     this._earliest = Math.max(earlier.earliest, clock)
     this._latest = Math.min(earlier.latest, clock + (receivedAt - requestedAt) * WORKER_CLOCK_RATE.fastest)
     this._at = receivedAt
@@ -47,7 +52,8 @@
   }
 
   /**
-   * Returns whether a response with the reading `clock` comes from another clock than the reports, and so from another incarnation; null while none is known.
+   * Returns whether a response with the reading `clock` comes from another clock than the reports, and so from another incarnation; null if it may be of either. An incarnation that began after the
+   * last report can't show more than the time since then, from where clocks start, which the first report bounds.
    *
    * @param requestedAt epoch milliseconds at which the response was requested.
    * @param receivedAt epoch milliseconds at which it arrived.
@@ -56,7 +62,9 @@
     if (!this.isKnown) return null
     const sinceRequest = requestedAt - this._at
     const earliest = this._earliest + sinceRequest * (sinceRequest < 0 ? WORKER_CLOCK_RATE.fastest : WORKER_CLOCK_RATE.slowest)
-    return clock < earliest - CONTRADICTION_TOLERANCE_MILLISECONDS || this.isContradictedBy(clock, receivedAt)
+    if (clock < earliest - CONTRADICTION_TOLERANCE_MILLISECONDS || this.isContradictedBy(clock, receivedAt)) return true
+    const latestOfNext = this._first + (receivedAt - this._requestedAt) * WORKER_CLOCK_RATE.fastest
+    return clock <= latestOfNext + CONTRADICTION_TOLERANCE_MILLISECONDS ? null : false
   }
 
   /** Forgets everything known before `now` (epoch milliseconds), because another incarnation follows or the owner's clock has stood still. */
--- a/src/workers/worker-table.ts
+++ b/src/workers/worker-table.ts
@@ -185,7 +185,7 @@
   private _create (entry: WorkerEntry): FleetWorker {
     const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation), this._inheritedLeases.startsOverAt, this._inheritedLeases.maximumMilliseconds)
     worker.hasLeaseBound = this._earlierOwners.leaseBound(entry.id, entry.incarnation) !== null
-    worker.inheritedStartsExpireAt = this._inheritedLeases.startsExpiryOf(entry.id, entry.incarnation)
+    worker.inheritedStartsExpireAt = this._inheritedLeases.startsExpiryOf(entry.id)
     worker.boundExpiresAt = Infinity
     worker.incarnationKnownAt = this._clock.now()
     worker.isCordoned = this._cordonedIds.has(entry.id)
