--- a/src/leases/inherited-leases.ts
+++ b/src/leases/inherited-leases.ts
@@ -8,7 +8,7 @@
 
 /**
  * Allows for the time that a worker takes to kill its runs, and for the drift of its clock since the report by which an owner set the lease. Orders in flight extend no
- * lease, because its deadline is set on the worker's clock when they are sent.
+ * lease of the incarnation that they are meant for, because its deadline is set on the worker's clock when they are sent.
  */
 const EXPIRY_MARGIN_MILLISECONDS = 300
 
@@ -24,9 +24,10 @@
 
   /**
    * @param _leaseMilliseconds length of a lease, the same in all processes of a fleet, since each owner relies on it.
+   * @param maximumMilliseconds longest lease that a worker accepts.
    * @param _earlierOwners owners whose leases may not have expired.
    */
-  constructor (private readonly _leaseMilliseconds: number, private readonly _earlierOwners: EarlierOwners, private readonly _clock: Clock, private readonly _log: DecisionLog) {
+  constructor (private readonly _leaseMilliseconds: number, readonly maximumMilliseconds: number, private readonly _earlierOwners: EarlierOwners, private readonly _clock: Clock, private readonly _log: DecisionLog) {
     this._expireAt = _earlierOwners.renewLeasesUntil + this._longestLeaseMilliseconds
     this._loggedExpireAt = this._expireAt
     this._previousWrittenBefore = _earlierOwners.writtenBefore
@@ -54,6 +55,11 @@
     return Math.min(this._expireAt, this._earlierOwners.leaseBound(worker, incarnation) ?? Infinity)
   }
 
+  /** Returns the epoch milliseconds by which leases have expired that unsettled starts of earlier owners may have set on the next incarnation of a worker. */
+  startsExpiryOf (worker: string): number {
+    return Math.max(this._earlierOwners.claimedAt + this.maximumMilliseconds / WORKER_CLOCK_RATE.slowest + EXPIRY_MARGIN_MILLISECONDS, this._earlierOwners.startsBound(worker))
+  }
+
   /** Applies what has become known of earlier owners. Returns whether any lease may have turned out to expire earlier. */
   refresh (): boolean {
     this._logResumption()
