Add seeded series of workers that start again under their IDs

The emulator repeats opening packets to silent workers, so that the next incarnation at the address carries the call out, and delivers reports late.

A start that was sent for the previous incarnation of its worker gives its run the longest lease on the next one, since the clock starts anew, and the owner starts the task elsewhere before that lease is over.

--- a/stand-ins/emulator/emulator-dialer.ts
+++ b/stand-ins/emulator/emulator-dialer.ts
@@ -22,7 +22,11 @@
     if (this._emulator.refusesConnections(this._address)) return this._refuse()
     if (this._address !== this._emulator.addresses.store) await this._emulator.faults.makeCall(this._caller, this._clock)
     if (signal.aborted || this._clock.now() >= deadline) return Left(new CallError('unsent', 'not sent by the deadline'))
-    const responded = this._emulator.handle({ caller: this._caller, address: this._address, path, headers, body: bytes, isAborted: () => signal.aborted })
+    const { faults } = this._emulator
+    const connected = this._isSilent() ? await faults.lateConnections.establish(() => this._isSilent(), { clock: this._clock, signal, deadline }) : 'at once'
+    if (connected === 'never') return Left(new CallError('unsent', 'no connection'))
+    const handled = this._emulator.handle({ caller: this._caller, address: this._address, path, headers, body: bytes, isAborted: () => signal.aborted })
+    const responded = connected === 'late' && faults.lateConnections.losesResponse() ? handled.then(() => null) : path.endsWith('/hold') ? handled.then(result => this._deliverReport(result)) : handled
     const expired = this._clock.sleepUntil(deadline, signal).then(() => null, () => null)
     // The emulator returns null for a call without a response; the caller then waits until its deadline, unless the connection is reset.
     const response = await Promise.race([responded.then(result => result ?? (this._emulator.refusesConnections(this._address) ? null : expired)), expired])
@@ -31,6 +35,18 @@
     return response ? Right(response) : Left(new CallError('unknown', 'no response'))
   }
 
+  /** Whether a worker is at the address that neither responds nor refuses connections. */
+  private _isSilent (): boolean {
+    return this._emulator.faults.lateConnections.repeatMilliseconds > 0 && this._emulator.workerIncarnations.findLast(({ address }) => address === this._address)?.isDisconnected === true
+  }
+
+  /** Waits until a report has arrived, whatever has become of its worker meanwhile. */
+  private async _deliverReport<Response> (response: Response): Promise<Response> {
+    const { reportMilliseconds } = this._emulator.faults
+    if (reportMilliseconds > 0) await this._clock.sleepUntil(this._clock.now() + reportMilliseconds)
+    return response
+  }
+
   private async _refuse (): ReturnType<CallClient['call']> {
     await this._clock.sleepUntil(this._clock.now() + CONNECTION_LATENCY_MILLISECONDS)
     await this._untilRunning()
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from '../../src/supervision/clock.js'
 import type { EmulatedWorker } from './emulated-worker.js'
+import { LateConnections } from './late-connections.js'
 import { VirtualMachineFaults } from './virtual-machine-faults.js'
 
 /** Services whose calls or responses are lost: those of the store, of the workers, or of all of them. */
@@ -18,6 +19,8 @@
 export class EmulatorFaults {
   /** Faults of the control interface of the VMs. */
   readonly virtualMachines = new VirtualMachineFaults()
+  /** Connections to silent workers. */
+  readonly lateConnections = new LateConnections()
   /** Callers whose calls don't reach the store. */
   readonly disconnectedCallers = new Set<string>()
   /** Killed processes, whose calls reach no service. */
@@ -58,6 +61,8 @@
   startLatencyMilliseconds = 0
   /** Latency of the lease renewals of a worker, in milliseconds, so that orders overtake them. */
   renewalLatencyMilliseconds = 0
+  /** Time that a worker's report takes to its caller once it has been made, in milliseconds, so that it may be older than a start that was accepted meanwhile. */
+  reportMilliseconds = 0
   /** Number of starts, from the next one on, that get no response and are executed late. */
   lateStarts = 0
   /** Addresses of workers at which every start gets no response and is executed late. */
--- /dev/null
+++ b/tests/restart-series.test.ts
@@ -0,0 +1,47 @@
+/**
+ * Tests of workers that lose power and start again under their IDs while starts, reports and lists are on their way.
+ */
+import { expect, test } from 'vitest'
+import { describeRestartPlan } from './support/restart-series/describe-restart-plan.js'
+import { drawRestartPlan } from './support/restart-series/draw-restart-plan.js'
+import { RestartPlayer } from './support/restart-series/restart-player.js'
+
+/** Seeds of the series: `FIRST-LAST` in the environment variable plays others by hand. */
+const [FIRST_SEED = 1, LAST_SEED = 12] = (process.env['RESTART_SERIES_SEEDS'] ?? '1-12').split('-').map(Number)
+
+/** Seeds of series in which a start for the previous life of a worker gave its run a longer lease on the next one than the owner counted. */
+const SEEDS_WITH_LONG_LEASES = [37, 89, 136]
+
+/** Seeds of series in which calls are carried out on connections that were made late. */
+const SEEDS_WITH_LATE_CONNECTIONS = [3, 8]
+
+/** Number of series in a test. */
+const SERIES_PER_TEST = 4
+
+async function expectNoFindings (firstSeed: number, lastSeed: number): Promise<void> {
+  const findings: string[] = []
+  for (let seed = firstSeed; seed <= lastSeed; seed++) {
+    const plan = drawRestartPlan(seed, 'prompt')
+    const { findings: found } = await RestartPlayer.play(plan)
+    if (found.length > 0) findings.push(describeRestartPlan(plan), ...found.map(({ violation, cause }) => `${violation}; given up by: ${cause}`))
+  }
+  expect(findings, findings.join('\n')).toEqual([])
+}
+
+// Guards against a run that is given up with the previous life of its worker although the next one carries out its start.
+test.each(Array.from({ length: Math.ceil((LAST_SEED - FIRST_SEED + 1) / SERIES_PER_TEST) }, (_, index) => FIRST_SEED + index * SERIES_PER_TEST))('tasks don\'t run twice at once in series of workers that start again under their IDs (four seeds from %i on)', async firstSeed => {
+  await expectNoFindings(firstSeed, Math.min(LAST_SEED, firstSeed + SERIES_PER_TEST - 1))
+})
+
+// Guards against a lease that the owner counts from the deadline that it sent: the clock of the next life starts anew, so that this deadline allows the longest lease there.
+test.each(SEEDS_WITH_LONG_LEASES)('tasks of a worker that is cut off after its restart are not started elsewhere before its longest lease is over (series of seed %i)', async seed => {
+  await expectNoFindings(seed, seed)
+})
+
+// Guards against series that disturb nothing.
+test('series start runs on restarted workers, and carry out calls on connections that are made late', async () => {
+  const results = []
+  for (const seed of SEEDS_WITH_LATE_CONNECTIONS) results.push(await RestartPlayer.play(drawRestartPlan(seed, 'prompt')))
+  expect(results.reduce((sum, { startsOnRestarted }) => sum + startsOnRestarted, 0)).toBeGreaterThan(0)
+  expect(results.reduce((sum, { lateConnections }) => sum + lateConnections, 0)).toBeGreaterThan(0)
+})
--- a/tests/support/lease-series/disturbed-fleet.ts
+++ b/tests/support/lease-series/disturbed-fleet.ts
@@ -95,6 +95,11 @@
     return new DisturbedFleet(fleet, processes, pools.workers)
   }
 
+  /** Disturbs a fleet that has been started. */
+  static around (fleet: EmulatedFleet, processes: readonly string[]): DisturbedFleet {
+    return new DisturbedFleet(fleet, processes)
+  }
+
   get now (): number {
     return this.fleet.clock.now()
   }
