--- a/tests/restart-series.test.ts
+++ b/tests/restart-series.test.ts
@@ -16,7 +16,7 @@
 const SEEDS_WITH_ACCEPTED_STARTS = [158, 189, 266]
 
 /** Seeds, with their modes, of series in which the previous owner had sent such a start, and the next owner takes its lease for one of the usual length. */
-const SEEDS_WITH_INHERITED_LEASES = [[157, 'prompt'], [272, 'late'], [287, 'late']] as const
+const SEEDS_WITH_INHERITED_LEASES = [[157, 'prompt'], [922, 'prompt'], [272, 'late'], [287, 'late']] as const
 
 /** Seeds of series in which runs start on restarted workers, and calls are carried out on connections that were made late. */
 const SEEDS_WITH_LATE_CONNECTIONS = [44, 76]
