Weigh crashes of workers by what else ended

Cause: the attribution of crashes looked at one worker at a time. A run alone on trial was the culprit, also when most workers restarted at the same moment, so that a sound lasting task was given up, with its job, after the third restart in a series.

Change: ShareCoincidencePolicy compares each end with the ends around it, of the fleet, the pool, the rack and the zone; ends that runs on trial explain are left out. A crash of a worker that ended together with others isn't recorded, or is withdrawn if the others are seen up to a second later. Evidence is written at once and withdrawn later: an owner that is lost in between leaves one crash too many, never one too few.

--- a/src/crashes/crash-history.ts
+++ b/src/crashes/crash-history.ts
@@ -3,6 +3,7 @@
  */
 import type { RunCrash } from '../jobs/run-crash.js'
 import type { UnprovenEnd } from '../jobs/unproven-end.js'
+import { weighCrashes } from './weigh-crashes.js'
 
 /** Time for which a run must have been running before it isn't suspected of a crash, in milliseconds. */
 const TRIAL_MILLISECONDS = 300
@@ -25,11 +26,22 @@
 /** The same with crashes under runs that may not have begun. */
 const MAXIMUM_CRASHES_WITH_UNCONFIRMED = 5
 
+/** Crashes, with those that aren't proved, from which a task isn't started if they would suffice to give it up: crashes that have not counted may have used up the starts that remain. */
+const CRASHES_BEFORE_HOLDING_BACK = 3
+
+/** Limit on the crashes that don't count which are kept for the log. */
+const MAXIMUM_DISCOUNTED = 10
+
+/** Weight of its crashes from which a task is given up: a sound one reaches it with a probability of at most 1/200. */
+const MINIMUM_WEIGHT = 200
+
 /** Decides from a task's crashes how its next run starts, and whether there is a next run. */
 export class CrashHistory {
   private _crashes: readonly RunCrash[]
   /** Possible crashes: until another incarnation of the worker proves them, they isolate the next run but don't count towards giving the task up. */
   private _unproven: readonly RunCrash[]
+  /** Crashes that don't count, with their cause, for the log; as far as this owner knows. */
+  private _discounted: ReadonlyMap<number, string> = new Map()
 
   /** @param records what the journal has. */
   constructor (records: readonly RunCrash[] = []) {
@@ -42,6 +54,11 @@
     return [...this._crashes, ...this._unproven]
   }
 
+  /** The crashes that count and those that don't, as text for the log. */
+  get summary (): string[] {
+    return [...this._crashes.map(crash => this._describe(crash)), ...[...this._discounted].map(([run, cause]) => `run ${run} doesn't count: ${cause}`)]
+  }
+
   /** Number of crashes. */
   get count (): number {
     return this._crashes.length
@@ -79,25 +96,42 @@
 
   /** Whether the task must not be started again. */
   get isExhausted (): boolean {
-    const confirmed = this._crashes.filter(({ role }) => role !== 'unconfirmed')
-    const suspected = confirmed.filter(({ role }) => role !== 'bystander')
-    const isCulprit = this._isCulprit && (suspected.length >= MAXIMUM_SUSPECTED_CRASHES || confirmed.length >= MAXIMUM_CRASHES_OF_CULPRIT)
-    return isCulprit || confirmed.length >= MAXIMUM_CRASHES || this._crashes.length >= MAXIMUM_CRASHES_WITH_UNCONFIRMED
+    return this._suffice(this._crashes)
   }
 
-  /** Whether the next run has to wait until crashes are proved or forgotten, because there would be none if all of them were proved. */
+  /** Whether the next run has to wait: until the task is given up, or until crashes are proved or forgotten, because there would be none if all of them were proved. */
   get isHeldBack (): boolean {
-    return this._unproven.length > 0 && this._recordCount >= MAXIMUM_CRASHES_WITH_UNCONFIRMED
+    if (this._recordCount < MAXIMUM_SUSPECTED_CRASHES) return false
+    return this.isExhausted || (this._unproven.length > 0 && this._recordCount >= CRASHES_BEFORE_HOLDING_BACK && this._suffice(this.records))
+  }
+
+  /** How much likelier the crashes are if the task is their cause than by chance. */
+  get weight (): number {
+    return weighCrashes(this._crashes)
   }
 
   /** Records a crash; the crash of a run is counted once. Returns whether it is new. */
-  record ({ run, role }: RunCrash): boolean {
+  record ({ run, role, evidence }: RunCrash): boolean {
     this._unproven = this._unproven.filter(other => other.run !== run)
     if (this._crashes.some(other => other.run === run)) return false
-    this._crashes = [...this._crashes, { run, role }]
+    this._crashes = [...this._crashes, { run, role, ...evidence ? { evidence } : {} }]
     return true
   }
 
+  /** Notes that the crash of a run doesn't count. */
+  discount (run: number, cause: string): void {
+    this._discounted = new Map([...this._discounted, [run, cause] as const].slice(-MAXIMUM_DISCOUNTED))
+  }
+
+  /** Removes the crash of a run, proved or not. Returns whether there was one. */
+  withdraw (run: number, cause: string): boolean {
+    this.discount(run, cause)
+    const countBefore = this._recordCount
+    this._crashes = this._crashes.filter(other => other.run !== run)
+    this._unproven = this._unproven.filter(other => other.run !== run)
+    return this._recordCount < countBefore
+  }
+
   /** Records a crash that counts only once it is proved. */
   recordUnproven (crash: RunCrash): void {
     if (this.records.some(({ run }) => run === crash.run)) return
@@ -133,6 +167,22 @@
     return this._crashes.length + this._unproven.length
   }
 
+  /** Whether crashes are enough, and heavy enough, to give the task up. */
+  private _suffice (crashes: readonly RunCrash[]): boolean {
+    if (crashes.length < MAXIMUM_SUSPECTED_CRASHES) return false
+    const confirmed = crashes.filter(({ role }) => role !== 'unconfirmed')
+    const suspected = confirmed.filter(({ role }) => role !== 'bystander')
+    const isCulprit = crashes.some(({ role }) => role === 'culprit') && (suspected.length >= MAXIMUM_SUSPECTED_CRASHES || confirmed.length >= MAXIMUM_CRASHES_OF_CULPRIT)
+    const areEnough = isCulprit || confirmed.length >= MAXIMUM_CRASHES || crashes.length >= MAXIMUM_CRASHES_WITH_UNCONFIRMED
+    return areEnough && weighCrashes(crashes) >= MINIMUM_WEIGHT
+  }
+
+  private _describe ({ run, role, evidence }: RunCrash): string {
+    if (!evidence) return `run ${run} ${role}`
+    const { minimumAge, maximumAge, rivals, rate } = evidence
+    return `run ${run} ${role} after ${minimumAge} to ${maximumAge} ms, rivals ${rivals}, other ends per worker and second ${rate}`
+  }
+
   private get _isCulprit (): boolean {
     return this._crashes.some(({ role }) => role === 'culprit')
   }
--- a/src/jobs/run-crash.ts
+++ b/src/jobs/run-crash.ts
@@ -2,6 +2,7 @@
  * A crash, proved or possible, of a worker under one of its runs.
  */
 import * as z from 'zod'
+import { CrashEvidence } from './crash-evidence.js'
 import { UnprovenEnd } from './unproven-end.js'
 
 /** The part that a run may have had in the crash of its worker. */
@@ -14,6 +15,8 @@
    */
   role: z.enum(['bystander', 'suspect', 'culprit', 'unconfirmed']),
   /** Missing once it is proved that the worker has crashed; until then the crash doesn't count. */
-  unprovenEnd: UnprovenEnd.optional()
+  unprovenEnd: UnprovenEnd.optional(),
+  /** Missing in rows of older versions. */
+  evidence: CrashEvidence.optional()
 })
 export type RunCrash = z.infer<typeof RunCrash>
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -54,7 +54,10 @@
 import { LostWorkerDetector } from '../workers/lost-worker-detector.js'
 import { LeaseRenewalPermit } from '../leases/lease-renewal-permit.js'
 import { LeaseRenewalTask } from '../leases/lease-renewal-task.js'
+import { CrashVerdicts } from '../crashes/crash-verdicts.js'
+import { EvidentAttributionPolicy } from '../crashes/evident-attribution-policy.js'
 import { RecentStartAttributionPolicy } from '../crashes/recent-start-attribution-policy.js'
+import { ShareCoincidencePolicy } from '../crashes/share-coincidence-policy.js'
 import { UnknownWorkerEnds } from '../workers/unknown-worker-ends.js'
 import { UnsettledStarts } from '../takeover/unsettled-starts.js'
 import { WorkerLossHandler } from '../workers/worker-loss-handler.js'
@@ -124,15 +127,16 @@
     const workerTable: WorkerTable = new WorkerTable(configuration, new InheritedLeases(leaseMilliseconds, earlierOwners, clock, log), earlierOwners, () => writer.renewTerm(), () => permit.revoke(), () => workerRegistry.freshAt, clock, log)
     const scheduledJobs = new ScheduledJobTable()
     const reservations = new ResourceReservations(new TeamUsage(configuration))
+    const attribution = new EvidentAttributionPolicy(new RecentStartAttributionPolicy(), new ShareCoincidencePolicy(), () => workerTable, clock, log)
     const copies = new TaskCopies(new RunDurations(), clock, metrics)
-    const schedule: FleetSchedule = new FleetSchedule(new AttemptBudget(configuration), copies, writer, dispatcher, scheduledJobs, workerTable, reservations, unsettledStarts, new InheritedPlacements(workerTable, reservations, unsettledStarts, clock), fleetTime, this._observability)
+    const schedule: FleetSchedule = new FleetSchedule(new AttemptBudget(configuration), copies, writer, dispatcher, scheduledJobs, workerTable, reservations, unsettledStarts, new InheritedPlacements(workerTable, reservations, unsettledStarts, attribution, clock), fleetTime, this._observability)
     const runLog = new RunLogTask(this._observability)
     const listings = new WorkerListings(workerTable, log)
     const inventory = virtualMachineControl && new InventoryTask(virtualMachineControl, listings, clock, log)
     const health = new WorkerHealthTask(new DecayingWorkerHealthPolicy(), inventory ? new ListedVirtualMachines(inventory) : new UnknownVirtualMachines(), workerTable, clock, metrics, log)
     const outcomes = new StartOutcomeHandler(schedule, scheduledJobs, workerTable, health.history, clock, metrics, log)
     const leaseBounds = new LeaseBounds(jobTable, writer, term, fleetTime, log)
-    const losses = new WorkerLossHandler(schedule, scheduledJobs, leaseBounds, new RecentStartAttributionPolicy(), health.history, () => workerRegistry.freshAt, fleetTime, clock, metrics, log)
+    const losses = new WorkerLossHandler(schedule, scheduledJobs, leaseBounds, attribution, health.history, () => workerRegistry.freshAt, fleetTime, clock, metrics, log)
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, runLog, health.history, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(store, WORKER_TOPIC, clock, log), record => WorkerCodec.decode(record), log)
     const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
@@ -146,7 +150,7 @@
     const speculationPolicy = new TailSpeculationPolicy()
     const copyCandidates = new CopyCandidates(scheduledJobs, configuration, reservations.teamUsage, copies.durations, speculationPolicy)
     const placement = new PlacementTask(
-      { schedule, table: scheduledJobs, workingSet: new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics) },
+      { schedule, table: scheduledJobs, workingSet: new WorkingSet(scheduledJobs, limits.maximumBacklogTasks, metrics), verdicts: new CrashVerdicts(attribution, schedule, scheduledJobs, clock, log) },
       placementFleet,
       placementRules,
       { pace, viewFreshAt: () => this._viewFreshAt() },
--- a/src/placement/placement-jobs.ts
+++ b/src/placement/placement-jobs.ts
@@ -1,6 +1,7 @@
 /**
  * Dependencies of placement on the side of the jobs.
  */
+import type { CrashVerdicts } from '../crashes/crash-verdicts.js'
 import type { FleetSchedule } from '../scheduling/fleet-schedule.js'
 import type { ScheduledJobTable } from '../scheduling/scheduled-job-table.js'
 import type { WorkingSet } from './working-set.js'
@@ -10,4 +11,5 @@
   readonly schedule: FleetSchedule
   readonly table: ScheduledJobTable
   readonly workingSet: WorkingSet
+  readonly verdicts: CrashVerdicts
 }
--- a/src/placement/placement-task.ts
+++ b/src/placement/placement-task.ts
@@ -56,6 +56,7 @@
   override async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const now = this._observability.clock.now()
+      this._jobs.verdicts.settle(now)
       const isSecondLookNeeded = this._fleet.lostWorkers.check(now, now + MAXIMUM_ROUND_INTERVAL_MILLISECONDS)
       const changesBefore = this._jobs.schedule.changeCount
       if (this._timing.viewFreshAt() > now - MAXIMUM_VIEW_AGE_MILLISECONDS) {
--- a/src/platform/task-rows-codec.ts
+++ b/src/platform/task-rows-codec.ts
@@ -17,8 +17,11 @@
 /** Roles of a run in a crash; the index of a role is its number in a row. */
 const CRASH_ROLES = ['bystander', 'suspect', 'culprit', 'unconfirmed'] as const
 
-/** Run, role, and the end of the worker that isn't proved yet. */
-const CrashRow = z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1), UnprovenEnd.optional()])
+/** What tells for or against the run: least and greatest age, rate of ends, rivals. */
+const EvidenceRow = z.tuple([z.number(), z.number(), z.number(), z.number().int()])
+
+/** Run, role, the end of the worker that isn't proved yet or null, and the evidence. */
+const CrashRow = z.tuple([z.number().int(), z.number().int().min(0).max(CRASH_ROLES.length - 1), UnprovenEnd.nullable().optional(), EvidenceRow.optional()])
 
 const PhaseNumber = z.number().int().min(0).max(PHASES.length - 1)
 
@@ -149,11 +152,18 @@
     }
   }
 
-  private static _encodeCrash ({ run, role, unprovenEnd }: RunCrash): z.infer<typeof CrashRow> {
-    return unprovenEnd ? [run, CRASH_ROLES.indexOf(role), unprovenEnd] : [run, CRASH_ROLES.indexOf(role)]
+  private static _encodeCrash ({ run, role, unprovenEnd, evidence }: RunCrash): z.infer<typeof CrashRow> {
+    const number = CRASH_ROLES.indexOf(role)
+    if (evidence) return [run, number, unprovenEnd ?? null, [evidence.minimumAge, evidence.maximumAge, evidence.rate, evidence.rivals]]
+    return unprovenEnd ? [run, number, unprovenEnd] : [run, number]
   }
 
-  private static _decodeCrash ([run, role, unprovenEnd]: z.infer<typeof CrashRow>): RunCrash {
-    return { run, role: CRASH_ROLES[role] ?? 'bystander', ...unprovenEnd ? { unprovenEnd } : {} }
+  private static _decodeCrash ([run, role, unprovenEnd, evidence]: z.infer<typeof CrashRow>): RunCrash {
+    return {
+      run,
+      role: CRASH_ROLES[role] ?? 'bystander',
+      ...unprovenEnd ? { unprovenEnd } : {},
+      ...evidence ? { evidence: { minimumAge: evidence[0], maximumAge: evidence[1], rate: evidence[2], rivals: evidence[3] } } : {}
+    }
   }
 }
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -112,11 +112,20 @@
   recordCrash (run: ScheduledTask, crash: RunCrash): void {
     const { principal: task } = run
     if (task.phase === 'done' || task.step.job.isFinished || !task.crashes.record(crash)) return
-    task.awaitIsolation(this._observability.clock.now())
-    this._observability.metrics.count('runs.crashed', 1, crash.role)
-    this._observability.log.emit('worker crashed under run', { task: task.name, run: crash.run, role: crash.role, crashes: task.crashes.count, isGivenUp: task.crashes.isExhausted })
+    const now = this._observability.clock.now()
+    task.lastCrashAt = now
+    task.awaitIsolation(now)
+    const { role, evidence } = crash
+    this._observability.metrics.count('runs.crashed', 1, role)
+    this._observability.log.emit('worker crashed under run', { task: task.name, run: crash.run, role, counts: true, ...evidence, crashes: task.crashes.count, weight: Math.round(task.crashes.weight), isGivenUp: task.crashes.isExhausted })
     this._writer.writeStep(task.step)
-    this._giveUpIfExhausted(task)
+    this.markChanged()
+  }
+
+  /** Fails a waiting task. */
+  giveUp (task: ScheduledTask): void {
+    this._finishTask(task, 'failed')
+    this._updateJob(task.step)
   }
 
   /** Records that the start of a task's current run is no longer on its way. The next owner knows that from an append soon after if the task lasts, and from the next one otherwise. */
@@ -167,17 +176,17 @@
     else if (task.phase === 'placed') {
       task.phase = 'waiting'
       this._writer.writeStep(task.step)
-      this._giveUpIfExhausted(task)
+      if (task.phase === 'waiting' && this._attempts.isUsedUpByCopies(task)) this.giveUp(task)
     }
     this.markChanged()
   }
 
   /** Restores a task placed under an earlier term. If its worker has restarted since, a run that the earlier incarnation had reported has ended. */
   private _restorePlacement (task: ScheduledTask): void {
-    const isRestarted = this._inheritedPlacements.restore(task)
+    const { isRestarted, crashes } = this._inheritedPlacements.restore(task)
     if (!isRestarted) return
     if (task.isReported) this.requeue(task)
-    this.recordCrash(task, { run: task.run, role: 'unconfirmed' })
+    for (const { run, role, evidence } of crashes) this.recordCrash(task, { run, role, evidence })
   }
 
   private _startRun (task: ScheduledTask, worker: FleetWorker, run: number, placedAt: number): void {
@@ -235,11 +244,4 @@
     for (const step of job.steps) for (const task of step.tasks) for (const run of [task, task.copy]) if (run?.phase === 'placed') this.stop(run)
     this.markChanged()
   }
-
-  /** Fails a waiting task that has crashed too many workers, or whose runs have failed too often while it had two of them. */
-  private _giveUpIfExhausted (task: ScheduledTask): void {
-    if (task.phase !== 'waiting' || !(task.crashes.isExhausted || this._attempts.isUsedUpByCopies(task))) return
-    this._finishTask(task, 'failed')
-    this._updateJob(task.step)
-  }
 }
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -24,6 +24,10 @@
   checkpoint: string
   /** Epoch milliseconds until which the task, suspected after a crash, waits for a worker without other runs on trial. */
   isolationDeadline = 0
+  /** Epoch milliseconds at which a crash was last recorded under this term; 0 for none. */
+  lastCrashAt = 0
+  /** Epoch milliseconds from which a waiting task takes a worker with other runs on trial, whatever its crashes; Infinity while it has not waited for a trial. */
+  trialOverdueAt = Infinity
   /** Epoch milliseconds from which a waiting task that lasts takes any worker with room; Infinity before a placement round has found none for it. */
   overdueAt = Infinity
   /** Whether nothing else may start on the worker while the current run is on trial. */
@@ -93,6 +97,7 @@
     this.copy = null
     copy.failedRuns = this.failedRuns
     copy.isolationDeadline = this.isolationDeadline
+    copy.lastCrashAt = this.lastCrashAt
     copy.nextCopyAt = this.nextCopyAt
     copy._lastCopyRun = copy.run
     if (copy.checkpoint === '') copy.checkpoint = this.checkpoint
@@ -131,6 +136,11 @@
     return this.phase === 'placed' && !this.isStarted
   }
 
+  /** Epoch milliseconds at which the current run began at the latest, as far as this owner knows; 0 if unknown. */
+  get activeSince (): number {
+    return this.startOrderedAt === 0 ? 0 : this.startOrderedAt - this.earlierMilliseconds
+  }
+
   /** Whether the current run may still crash its worker by its start: no report has shown yet that it has been running for a while. */
   get isOnTrial (): boolean {
     if (!this.worker) return false
@@ -139,7 +149,7 @@
 
   /** Whether the current run of a task that lasts has been running for so long that earlier crashes don't matter. */
   get isStable (): boolean {
-    return this.step.definition.isLasting && this.worker !== null && this.startOrderedAt !== 0 && this.startOrderedAt - this.earlierMilliseconds + STABLE_MILLISECONDS <= this.worker.lastReportAt
+    return this.step.definition.isLasting && this.worker !== null && this.startOrderedAt !== 0 && this.activeSince + STABLE_MILLISECONDS <= this.worker.lastReportAt
   }
 
   /** Lets the task wait for a worker without other runs on trial, if its crashes require that, whether they are proved or not. */
@@ -157,6 +167,7 @@
     this.phase = 'placed'
     this.resetRun(worker, run, placementNumber, this.step.definition.isLasting ? worker.clockEstimate.readLatest(now) : 0)
     this.overdueAt = Infinity
+    this.trialOverdueAt = Infinity
   }
 
   /** Records that the worker reports the current run. For how long it has been active if another owner started it, the worker's clock tells. */
--- a/src/takeover/inherited-placements.ts
+++ b/src/takeover/inherited-placements.ts
@@ -1,6 +1,8 @@
 /**
  * The placements of earlier owners, as a new owner takes them over.
  */
+import type { AttributedCrash } from '../crashes/attributed-crash.js'
+import type { CrashAttributionPolicy } from '../crashes/crash-attribution-policy.js'
 import type { Clock } from '../supervision/clock.js'
 import type { ResourceReservations } from '../placement/resource-reservations.js'
 import type { ScheduledTask } from '../scheduling/scheduled-task.js'
@@ -9,23 +11,24 @@
 
 /** Reserves each task's place on its worker, in the incarnation that is known by now. */
 export class InheritedPlacements {
-  constructor (private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _unsettledStarts: UnsettledStarts, private readonly _clock: Clock) {}
+  constructor (private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _unsettledStarts: UnsettledStarts, private readonly _attribution: CrashAttributionPolicy, private readonly _clock: Clock) {}
 
   /**
    * Restores the placement of a task. A later incarnation of its worker may have received the start, or may do so until this owner has called it, unless the earlier one had reported the run.
    *
-   * @returns whether the registry shows a later incarnation than the journal.
+   * @returns whether the registry shows a later incarnation than the journal, and the crashes to record.
    */
-  restore (task: ScheduledTask): boolean {
+  restore (task: ScheduledTask): { isRestarted: boolean, crashes: readonly AttributedCrash[] } {
     this._unsettledStarts.inherit(task)
     const worker = this._workers.findOrAddPlaceholder(task)
     const isRestarted = worker.entry.incarnation > task.incarnation
     // A worker registers some time after its start, when its reports may already be in the journal.
     if (worker.entry.incarnation < task.incarnation) worker.startIncarnation(task.incarnation, this._clock.now(), this._workers.unknownLeasesExpireAt)
     if (isRestarted) task.placedAtClock = 0
+    const crashes = isRestarted ? this._attribution.attributeInherited(task, worker, task.incarnation) : []
     task.incarnation = worker.entry.incarnation
     task.runState = 'inherited'
     this._reservations.reserve(task, worker)
-    return isRestarted
+    return { isRestarted, crashes }
   }
 }
--- a/src/workers/worker-loss-handler.ts
+++ b/src/workers/worker-loss-handler.ts
@@ -43,7 +43,7 @@
     if (isCrash && lost.length > 0) this._outcomes.workerLost(worker, crashes)
     for (const task of lost) this._schedule.runLost(task, cause)
     if (worker.hasLeaseBound) this._leaseBounds.withdraw(worker)
-    for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
+    for (const { task, run, role, evidence } of crashes) this._schedule.recordCrash(task, { run, role, evidence })
   }
 
   /**
@@ -95,13 +95,13 @@
     if (!worker.hasSuccessor) for (const crash of crashes) this._recordUnproven(worker, crash)
     for (const task of tasks) this._schedule.runLost(task, cause)
     if (worker.hasLeaseBound && worker.tasks.size === 0) this._leaseBounds.withdraw(worker)
-    if (worker.hasSuccessor) for (const { task, run, role } of crashes) this._schedule.recordCrash(task, { run, role })
+    if (worker.hasSuccessor) for (const { task, run, role, evidence } of crashes) this._schedule.recordCrash(task, { run, role, evidence })
   }
 
   /** A worker that was only silent has crashed if it is back before its lease would have expired; otherwise its VM was probably lost. */
-  private _recordUnproven ({ entry: { id, address, incarnation }, refusesConnections, leaseExpiresAt }: FleetWorker, { task, run, role }: AttributedCrash): void {
+  private _recordUnproven ({ entry: { id, address, incarnation }, refusesConnections, leaseExpiresAt }: FleetWorker, { task, run, role, evidence }: AttributedCrash): void {
     const forgetAt = refusesConnections ? this._fleetTime.now() + UNPROVEN_RETENTION_MILLISECONDS : this._fleetTime.fromLocal(leaseExpiresAt)
-    task.crashes.recordUnproven({ run, role, unprovenEnd: { worker: id, address, incarnation, forgetAt: Math.round(forgetAt) } })
+    task.crashes.recordUnproven({ run, role, evidence, unprovenEnd: { worker: id, address, incarnation, forgetAt: Math.round(forgetAt) } })
     if (role !== 'unconfirmed') task.awaitIsolation(this._clock.now())
     this._jobs.updateUnprovenCrashes(task)
   }
--- a/tests/task-rows-codec.test.ts
+++ b/tests/task-rows-codec.test.ts
@@ -68,3 +68,13 @@
   const [record] = JournalCodec.encode({ kind: 'progress', job: 'a1b2c3d4e5f60718', occurrence: 0, step: 1, tasks })
   expect(record?.value.length).toBeLessThan(MAXIMUM_RECORD_BYTES)
 })
+
+test('a crash is read with the evidence that was written, proved or not, and without any from an earlier version', () => {
+  const evidence = { minimumAge: 12, maximumAge: 340, rate: 0.0123, rivals: 3 }
+  const unprovenEnd = { worker: 'i-1', address: '10.0.0.1:80', incarnation: 5, forgetAt: 1_700 }
+  const crashes: TaskProgress['crashes'] = [{ run: 1, role: 'suspect', evidence }, { run: 2, role: 'culprit', evidence, unprovenEnd }, { run: 3, role: 'bystander', unprovenEnd }]
+  const tasks: TaskProgress[] = [{ phase: 'waiting', run: 3, hasBegun: true, failedRuns: [], worker: '', incarnation: 0, checkpoint: '', crashes }]
+  expect(roundTrip(tasks)).toEqual(tasks)
+  const value = Buffer.from(JSON.stringify({ w: [], t: [[0, 3, 0, 0, 0, null, '', [], [[1, 1], [3, 0, unprovenEnd]]]] }))
+  expect(JournalCodec.decode({ key: 'step/a/0/0', value }).extract()).toMatchObject({ tasks: [{ crashes: [{ run: 1, role: 'suspect' }, { run: 3, role: 'bystander', unprovenEnd }] }] })
+})
