--- a/src/crashes/recent-worker-ends.ts
+++ b/src/crashes/recent-worker-ends.ts
@@ -7,7 +7,7 @@
 const RETENTION_MILLISECONDS = 30_000
 
 /** Time without an end that is assumed beside what has been seen, in worker-seconds, and half an end in it: an owner that has seen little doesn't assume that workers never end. */
-const PRIOR_WORKER_SECONDS = 100
+const PRIOR_WORKER_SECONDS = 20
 const PRIOR_ENDS = 0.5
 
 /** Keeps each end once, in the order in which they were seen. */
--- a/tests/restarts-in-series.test.ts
+++ b/tests/restarts-in-series.test.ts
@@ -2,6 +2,7 @@
  * Tests of series in which many workers restart together: what is sound is neither given up nor kept waiting.
  */
 import { expect, test } from 'vitest'
+import type { StepDefinition } from '../src/jobs/step-definition.js'
 import { SeededRandomSource } from '../src/supervision/seeded-random-source.js'
 import { EmulatedFleet } from './support/emulated-fleet.js'
 
@@ -56,8 +57,14 @@
   return Array.from({ length: LASTING_JOBS }, (_, job) => [0, 1].map(index => `last${job}.0.0.${index}`)).flat()
 }
 
-/** Plays a series on a fleet with lasting jobs and others; returns the fleet after all of it. */
-async function play (seed: number, series: Series, isDeadlyTaskThere: boolean): Promise<EmulatedFleet> {
+/** A task that crashes its workers some time after each start. */
+interface DeadlyTask {
+  readonly step: Partial<StepDefinition>
+  readonly milliseconds: number
+}
+
+/** Plays a series on a fleet with lasting jobs and others, and perhaps a deadly task from the second restart on; returns the fleet after all of it. */
+async function play (seed: number, series: Series, deadly: DeadlyTask | null): Promise<EmulatedFleet> {
   const random = new SeededRandomSource(seed)
   const fleet = await EmulatedFleet.create(WORKERS, ['one', 'two', 'three'], seed, false)
   fleet.emulator.faults.crashDowntimeMilliseconds = 2_000
@@ -69,9 +76,10 @@
     for (let index = 0; index < 4; index++) fleet.outcomesByTask.set(`work${restart}.0.0.${index}`, { milliseconds: 4_000, result: 'done' })
     await fleet.submit(fleet.owner(), `work${restart}`, [{ count: 4 }])
     await restartTogether(fleet, random, series.share, series.downtimes[restart % series.downtimes.length] ?? 0, series.kills[restart % series.kills.length] ?? 0)
-    if (isDeadlyTaskThere && restart === 1) {
-      fleet.outcomesByTask.set('dead.0.0.0', { milliseconds: 20, result: 'crash' })
-      await fleet.submit(fleet.nonOwner(), 'dead', [{}])
+    if (deadly && restart === 1) {
+      for (let index = 1; index < (deadly.step.count ?? 1); index++) fleet.outcomesByTask.set(`dead.0.0.${index}`, { milliseconds: Infinity, result: 'done' })
+      fleet.outcomesByTask.set('dead.0.0.0', { milliseconds: deadly.milliseconds, result: 'crash' })
+      await fleet.submit(fleet.nonOwner(), 'dead', [deadly.step])
     }
     await fleet.clock.advance(Math.max(0, startedAt + series.intervalMilliseconds - fleet.clock.now()))
   }
@@ -82,7 +90,7 @@
 
 // Guards against sound tasks that are taken for the cause of restarts, and against trials without end.
 test.each(cases)('no sound task is given up or left waiting when workers restart together every $every ms, seed $seed, beside a deadly task: $isDeadlyTaskThere', async ({ seed, series, isDeadlyTaskThere }) => {
-  const fleet = await play(seed, series, isDeadlyTaskThere)
+  const fleet = await play(seed, series, isDeadlyTaskThere ? { step: {}, milliseconds: 20 } : null)
   const lastRestartAt = fleet.clock.now()
   const missing = new Set(lastingTasks())
   while (missing.size > 0 && fleet.clock.now() < lastRestartAt + LOST_AFTER_MILLISECONDS) {
@@ -98,3 +106,16 @@
   expect(await fleet.state(fleet.owner(), 'dead')).toEqual({ kind: 'state', state: 'failed' })
   expect(fleet.starts('dead.0.0.0').length).toBeLessThanOrEqual(MAXIMUM_STARTS)
 })
+
+const kinds: ReadonlyArray<readonly [string, Partial<StepDefinition>]> = [['plain', {}], ['gang', { count: 3, isGang: true }], ['lasting', { count: 2, isLasting: true }], ['speculative', { count: 2, isSpeculative: true }]]
+
+// Guards against deadly tasks that go on crashing workers because restarts around them excuse it.
+test.each(kinds.flatMap(([kind, step]) => [20, 1_000].flatMap(milliseconds => [4, 5].map(seed => ({ kind, step, milliseconds, seed })))))('a $kind task that crashes its workers after $milliseconds ms is given up in time while workers restart together, seed $seed', async ({ step, milliseconds, seed }) => {
+  const fleet = await play(seed, EVERY_THREE_SECONDS, { step, milliseconds })
+  await fleet.clock.advance(15_000)
+  expect(await fleet.state(fleet.owner(), 'dead')).toEqual({ kind: 'state', state: 'failed' })
+  // A start that a restart has ended first is no crash by the task.
+  expect(fleet.starts('dead.0.0.0').length).toBeLessThanOrEqual(MAXIMUM_STARTS)
+  for (let job = 0; job < LASTING_JOBS; job++) expect([job, await fleet.state(fleet.owner(), `last${job}`)]).toEqual([job, { kind: 'state', state: 'running' }])
+  expect(fleet.violations()).toEqual([])
+})
