--- a/src/crashes/end-coincidence-policy.ts
+++ b/src/crashes/end-coincidence-policy.ts
@@ -2,9 +2,7 @@
  * Interface of the policy that tells ends of workers with a common cause.
  */
 import type { WorkerEnd } from './worker-end.js'
-
-/** What is known of a worker's place, whether it has ended or not. */
-export type WorkerPlace = Pick<WorkerEnd, 'worker' | 'pool' | 'rack' | 'availabilityZone'>
+import type { WorkerPlace } from './worker-place.js'
 
 /** Decides whether a worker ended together with others by a cause outside its runs. */
 export abstract class EndCoincidencePolicy {
--- a/src/crashes/evident-attribution-policy.ts
+++ b/src/crashes/evident-attribution-policy.ts
@@ -9,10 +9,11 @@
 import type { WorkerTable } from '../workers/worker-table.js'
 import type { AttributedCrash } from './attributed-crash.js'
 import { CrashAttributionPolicy } from './crash-attribution-policy.js'
-import type { EndCoincidencePolicy, WorkerPlace } from './end-coincidence-policy.js'
+import type { EndCoincidencePolicy } from './end-coincidence-policy.js'
 import { RecentWorkerEnds } from './recent-worker-ends.js'
 import type { WithdrawnCrash } from './withdrawn-crash.js'
 import type { WorkerEnd } from './worker-end.js'
+import type { WorkerPlace } from './worker-place.js'
 
 /** Time after a crash for which ends that are seen later can show a common cause, in milliseconds: calls to the other workers fail or are answered within it. */
 const RECONSIDERATION_MILLISECONDS = 1_000
--- a/src/crashes/share-coincidence-policy.ts
+++ b/src/crashes/share-coincidence-policy.ts
@@ -1,8 +1,9 @@
 /**
  * The default policy on ends of workers with a common cause.
  */
-import { EndCoincidencePolicy, type WorkerPlace } from './end-coincidence-policy.js'
+import { EndCoincidencePolicy } from './end-coincidence-policy.js'
 import type { WorkerEnd } from './worker-end.js'
+import type { WorkerPlace } from './worker-place.js'
 
 /** Time between two ends up to which they may have one cause, in milliseconds: restarts that an operator or a fault spreads over the services, and the delay until each is noticed. */
 const WINDOW_MILLISECONDS = 300
--- a/src/placement/placement-task.ts
+++ b/src/placement/placement-task.ts
@@ -13,6 +13,7 @@
 import type { ScheduledTask } from '../scheduling/scheduled-task.js'
 import type { PlacementFleet } from './placement-fleet.js'
 import type { PlacementJobs } from './placement-jobs.js'
+import type { PlacementRound } from './placement-round.js'
 import type { PlacementRules } from './placement-rules.js'
 import type { PlacementTiming } from './placement-timing.js'
 import type { RankedStep } from './ranked-step.js'
@@ -31,17 +32,6 @@
 /** Tasks of one step that wait for more than room for which a round searches a worker without success: each search is a pass over the workers. */
 const MAXIMUM_FAILED_SEARCHES = 16
 
-/** What the steps of one round share. */
-interface PlacementRound {
-  readonly workersByPool: ReadonlyMap<string, FleetWorker[]>
-  /** Demands that fit on no worker, by pool: demands at least as large are skipped. */
-  readonly unplaceableByPool: Map<string, Resources[]>
-  readonly isolation: RunIsolation
-  readonly report: RoundReport
-  /** Number of tasks of no use any more that the round may still place. */
-  obsoleteTasksLeft: number
-}
-
 /** Runs placement rounds, one at a time, whenever the schedule has changed. */
 export class PlacementTask extends Task {
   override readonly name = 'placement'
@@ -191,7 +181,7 @@
       }
       const worker = isolation.choose(this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation))
       if (!worker) {
-        this._awaitTrial(task, this._workersWithCapacity(task, workers), isolation)
+        isolation.awaitTrial(task, this._workersWithCapacity(task, workers))
         continue
       }
       task.isIsolated = true
@@ -211,7 +201,7 @@
       task.isIsolated = isIsolated
       const isWithinLimit = this._isWithinUpperLimit(task)
       const worker = isWithinLimit ? this._rules.policy.chooseWorker(task, this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation)) : null
-      if (!worker && isWithinLimit && isIsolated) this._awaitTrial(task, this._workersWithCapacity(task, workers), isolation)
+      if (!worker && isWithinLimit && isIsolated) isolation.awaitTrial(task, this._workersWithCapacity(task, workers))
       if (!worker) break
       this._fleet.reservations.reserve(task, worker)
       placed.push(task)
@@ -229,13 +219,6 @@
     return placed
   }
 
-  /** Withholds one of the workers with room for a suspected task's trial. */
-  private _awaitTrial (task: ScheduledTask, workersWithRoom: readonly FleetWorker[], isolation: RunIsolation): void {
-    if (workersWithRoom.length === 0) return
-    isolation.recordWait(task)
-    isolation.withholdOne(workersWithRoom, task)
-  }
-
   private _isWithinUpperLimit ({ step }: ScheduledTask): boolean {
     return this._fleet.reservations.teamUsage.isWithinUpperLimit(step.job.view.submission.team, step.definition.demand)
   }
