Bound how long a suspected task waits for its trial

Cause: a task that was suspected twice waited for a worker without other runs on trial for as long as it took, and at most half of a pool takes part in trials. With many suspects, trials followed one another for 14 s and more.

Change: a round in which a task finds no worker for its trial, although there may be room, starts its patience: 2 s for a task that lasts, 8 s for others. Then it starts like others, not beside an isolated run.

--- a/src/crashes/run-isolation.ts
+++ b/src/crashes/run-isolation.ts
@@ -7,12 +7,19 @@
 /** Largest fraction of a pool's workers that take part in trials at once; one worker always may. */
 const MAXIMUM_TRIAL_FRACTION = 0.5
 
+/** Time for which a task that lasts waits for a trial, whatever its crashes, in milliseconds: with the time until its loss is known it is at work again within 6 s. */
+const LASTING_TRIAL_PATIENCE_MILLISECONDS = 2_000
+
+/** The same for other tasks. Longer, because suspects that start together are lost together if one of them is deadly. */
+const TRIAL_PATIENCE_MILLISECONDS = 8_000
+
 /** Exceeds the number of runs on any worker. */
 const MAXIMUM_RUNS_PER_WORKER = 10_000
 
 /**
  * Keeps other starts away from a worker while a suspected run is on trial there, in one placement round. A suspected task for which no worker is free
- * of other runs on trial has one withheld, which gets nothing else until it is. A task that lasts and is overdue
+ * of other runs on trial has one withheld, which gets nothing else until it is. When it has waited for that while there was room, it starts like others, but not
+ * beside a trial: its crash may then have rivals, and weighs less. A task that lasts and is overdue
  * doesn't wait for trials of its like: it shares them unless it is probably the cause of the crashes.
  */
 export class RunIsolation {
@@ -23,14 +30,21 @@
   /** Whether a task has to be isolated at present, or the gang to which it belongs. */
   applies (task: ScheduledTask): boolean {
     const group = task.step.definition.isGang ? task.step.tasks : [task]
+    if (group.some(({ trialOverdueAt }) => trialOverdueAt <= this._now)) return false
     return group.some(({ crashes, isolationDeadline }) => crashes.requiresIsolation || (crashes.needsIsolation && isolationDeadline > this._now))
   }
 
+  /** Notes that a task has found no worker for its trial although there may be room for it. */
+  recordWait (task: ScheduledTask): void {
+    const patience = task.step.definition.isLasting ? LASTING_TRIAL_PATIENCE_MILLISECONDS : TRIAL_PATIENCE_MILLISECONDS
+    task.trialOverdueAt = Math.min(task.trialOverdueAt, this._now + patience)
+  }
+
   /** Whether the task may start on a worker beside the runs that are there. */
   permits (task: ScheduledTask, worker: FleetWorker): boolean {
     const { crashes, step } = task
     if (crashes.isEmpty && task.isOverdue(this._now)) return true
-    if (this._withheld.has(worker)) return false
+    if (this._withheld.has(worker) && task.trialOverdueAt > this._now) return false
     // Nearly all tasks: the rest would be computed for each of them on each worker.
     if (crashes.isEmpty && !step.definition.isGang) return !worker.blocksStartOf(task)
     if (this._sharesTrials(task) && [...worker.tasks].every(other => !other.isOnTrial || other.step.definition.isLasting)) return true
--- a/src/placement/placement-task.ts
+++ b/src/placement/placement-task.ts
@@ -184,10 +184,14 @@
   private _placeIsolated (tasks: readonly ScheduledTask[], workers: readonly FleetWorker[], isolation: RunIsolation): ScheduledTask[] {
     const placed: ScheduledTask[] = []
     for (const task of tasks) {
-      if (!this._isWithinUpperLimit(task) || !isolation.hasRoom(workers, task)) break
+      if (!this._isWithinUpperLimit(task)) break
+      if (!isolation.hasRoom(workers, task)) {
+        isolation.recordWait(task)
+        continue
+      }
       const worker = isolation.choose(this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation))
       if (!worker) {
-        isolation.withholdOne(this._workersWithCapacity(task, workers), task)
+        this._awaitTrial(task, this._workersWithCapacity(task, workers), isolation)
         continue
       }
       task.isIsolated = true
@@ -207,7 +211,7 @@
       task.isIsolated = isIsolated
       const isWithinLimit = this._isWithinUpperLimit(task)
       const worker = isWithinLimit ? this._rules.policy.chooseWorker(task, this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation)) : null
-      if (!worker && isWithinLimit && isIsolated) isolation.withholdOne(this._workersWithCapacity(task, workers), task)
+      if (!worker && isWithinLimit && isIsolated) this._awaitTrial(task, this._workersWithCapacity(task, workers), isolation)
       if (!worker) break
       this._fleet.reservations.reserve(task, worker)
       placed.push(task)
@@ -225,6 +229,13 @@
     return placed
   }
 
+  /** Withholds one of the workers with room for a suspected task's trial. */
+  private _awaitTrial (task: ScheduledTask, workersWithRoom: readonly FleetWorker[], isolation: RunIsolation): void {
+    if (workersWithRoom.length === 0) return
+    isolation.recordWait(task)
+    isolation.withholdOne(workersWithRoom, task)
+  }
+
   private _isWithinUpperLimit ({ step }: ScheduledTask): boolean {
     return this._fleet.reservations.teamUsage.isWithinUpperLimit(step.job.view.submission.team, step.definition.demand)
   }
