Tell ends that break off calls from silent ones

Cause: a worker that gives no response ended at some time in the last second or so. Amid restarts without a response such wide intervals coincided with the crash of any worker, so that a deadly task was excused and started up to 12 times. The rate of ends was also underestimated in the first seconds of a term: a sound task was given up in a drawn series.

Change: an end by which the call under way broke off is compared with ends of that kind only, and a silent one with silent ones. More than half of the fleet ending together is never explained by trials. The prior of the rate weighs 30 worker-seconds instead of 100.

--- a/src/crashes/evident-attribution-policy.ts
+++ b/src/crashes/evident-attribution-policy.ts
@@ -23,6 +23,10 @@
 /** Bound on how long before a refused call a worker may have ended, in milliseconds: its end breaks off the call that is under way. */
 const REFUSAL_DELAY_MILLISECONDS = 50
 
+/** Time after its last response by which a living worker reports again, with and without tasks, in milliseconds. A call that fails before has been broken off. */
+const REPORT_INTERVAL_MILLISECONDS = 1_300
+const IDLE_REPORT_INTERVAL_MILLISECONDS = 2_300
+
 /** How much likelier a run on trial is to have crashed the worker than one that had passed its trial. */
 const TRIAL_ODDS = 10
 
@@ -107,12 +111,14 @@
     const isReported = lastReportAt > 0 && incarnation === worker.entry.incarnation
     const latestAt = isReported && unreachableSince > 0 ? unreachableSince : this._clock.now()
     const heardAt = isReported ? Math.max(lastReportAt, ...[...tasks].map(({ confirmedAt }) => confirmedAt === Infinity ? 0 : confirmedAt)) : this._startedAt - UNSEEN_MILLISECONDS
-    const earliestAt = refusesConnections && unreachableSince > 0 ? Math.max(heardAt, latestAt - REFUSAL_DELAY_MILLISECONDS) : heardAt
+    const isAbrupt = refusesConnections && unreachableSince > 0 && unreachableSince - heardAt < (tasks.size > 0 ? REPORT_INTERVAL_MILLISECONDS : IDLE_REPORT_INTERVAL_MILLISECONDS)
+    const earliestAt = isAbrupt ? Math.max(heardAt, latestAt - REFUSAL_DELAY_MILLISECONDS) : heardAt
     return {
       ...this._placeOf(worker),
       incarnation,
       earliestAt: Math.min(earliestAt, latestAt),
       latestAt,
+      isAbrupt,
       trialStarts: [...tasks].filter(({ isOnTrial, startOrderedAt }) => isOnTrial && startOrderedAt > 0).map(({ startOrderedAt }) => startOrderedAt)
     }
   }
--- a/src/crashes/recent-worker-ends.ts
+++ b/src/crashes/recent-worker-ends.ts
@@ -6,9 +6,9 @@
 /** Time for which ends count for the rate, in milliseconds. */
 const RETENTION_MILLISECONDS = 30_000
 
-/** Time without an end that is assumed beside what has been seen, in worker-seconds, and half an end in it: an owner that has seen little doesn't assume that workers never end. */
-const PRIOR_WORKER_SECONDS = 100
-const PRIOR_ENDS = 0.5
+/** Time without an end that is assumed beside what has been seen, in worker-seconds, with part of an end in it: an owner that has seen little doesn't assume that workers never end. */
+const PRIOR_WORKER_SECONDS = 30
+const PRIOR_ENDS = 0.3
 
 /** Keeps each end once, in the order in which they were seen. */
 export class RecentWorkerEnds {
--- a/src/crashes/share-coincidence-policy.ts
+++ b/src/crashes/share-coincidence-policy.ts
@@ -16,19 +16,25 @@
 /** Ends of other workers that have to coincide: one may do so by chance. */
 const MINIMUM_OTHER_ENDS = 2
 
+/** Share of the fleet, and ends, beyond which runs on trial explain nothing: trials take place on at most half of the workers. */
+const MAXIMUM_EXPLAINED_SHARE = 0.5
+const MAXIMUM_EXPLAINED_ENDS = 3
+
 /** Time after its start in which a deadly run crashes its worker at once, with the delay until that is noticed, in milliseconds. */
-const PROMPT_CRASH_MILLISECONDS = 600
+const PROMPT_CRASH_MILLISECONDS = 150
 
 /** Difference between starts up to which runs were started together, and may crash their workers together, in milliseconds. */
 const JOINT_START_MILLISECONDS = 100
 
 /**
  * Compares the ends around an end with the workers that could have ended: of the whole fleet, and of its pool, rack and availability zone. Ends that runs on trial explain are left out
- * on both sides, since several deadly tasks may start together.
+ * on both sides, since several deadly tasks may start together. So are those of the other kind: a cause that silences workers doesn't let one of them refuse connections.
  */
 export class ShareCoincidencePolicy extends EndCoincidencePolicy {
   override commonCause (end: WorkerEnd, others: readonly WorkerEnd[], places: readonly WorkerPlace[]): string | null {
-    const coincident = others.filter(other => other.earliestAt - WINDOW_MILLISECONDS <= end.latestAt && end.earliestAt - WINDOW_MILLISECONDS <= other.latestAt)
+    const coincident = others.filter(other => other.isAbrupt === end.isAbrupt && other.earliestAt - WINDOW_MILLISECONDS <= end.latestAt && end.earliestAt - WINDOW_MILLISECONDS <= other.latestAt)
+    const together = new Set(coincident.map(({ worker }) => worker)).size
+    if (together > MAXIMUM_EXPLAINED_ENDS && together / places.length > MAXIMUM_EXPLAINED_SHARE) return `${together} of ${places.length} other workers ended within ${WINDOW_MILLISECONDS} ms, more than trials explain`
     const explained = new Set(coincident.filter(other => this._isExplainedByTrial(other, end)).map(({ worker }) => worker))
     const ended = new Set(coincident.map(({ worker }) => worker).filter(worker => !explained.has(worker)))
     if (ended.size < MINIMUM_OTHER_ENDS) return null
@@ -61,6 +67,6 @@
 
   /** Whether a run on trial on another worker may have caused that worker's end, so that the end says nothing of a common cause. */
   private _isExplainedByTrial (other: WorkerEnd, end: WorkerEnd): boolean {
-    return other.trialStarts.some(start => other.latestAt - start <= PROMPT_CRASH_MILLISECONDS || end.trialStarts.some(ownStart => Math.abs(start - ownStart) <= JOINT_START_MILLISECONDS))
+    return other.trialStarts.some(start => other.earliestAt - start <= PROMPT_CRASH_MILLISECONDS || end.trialStarts.some(ownStart => Math.abs(start - ownStart) <= JOINT_START_MILLISECONDS))
   }
 }
--- a/src/crashes/weigh-crashes.ts
+++ b/src/crashes/weigh-crashes.ts
@@ -8,7 +8,7 @@
  * Ages by which a deadly run has crashed its worker, in milliseconds, with the probability that is assumed for each before any crash: nearly all do so at once or within
  * a second of work, and a worker's end is noticed by the call that breaks off.
  */
-const CRASH_AGES: ReadonlyArray<readonly [number, number]> = [[300, 0.4], [1_200, 0.5], [3_000, 0.05], [10_000, 0.05]]
+const CRASH_AGES: ReadonlyArray<readonly [number, number]> = [[300, 0.35], [1_200, 0.4], [3_000, 0.2], [10_000, 0.05]]
 
 /** Probability of a crash without evidence, as in rows of older versions, under a task that isn't its cause. */
 const CHANCE_WITHOUT_EVIDENCE = 0.01
--- a/src/crashes/worker-end.ts
+++ b/src/crashes/worker-end.ts
@@ -14,6 +14,8 @@
   /** Epoch milliseconds between which the worker ended. */
   earliestAt: z.number(),
   latestAt: z.number(),
+  /** Whether the call that was under way broke off and further ones were refused: its process ended while its VM went on. Others give no response, as after a loss of power. */
+  isAbrupt: z.boolean(),
   /** Epoch milliseconds of the starts of its runs that were on trial. */
   trialStarts: z.array(z.number())
 })
--- a/tests/end-coincidence.test.ts
+++ b/tests/end-coincidence.test.ts
@@ -17,7 +17,7 @@
 const DETECTION_MILLISECONDS = 50
 
 function end (worker: number, at: number, trialStarts: readonly number[] = [], place: Partial<WorkerEnd> = {}): WorkerEnd {
-  return { worker: `i-${worker}`, incarnation: at, pool: 'work', rack: `r${worker % 4}`, availabilityZone: 'a', earliestAt: at, latestAt: at + DETECTION_MILLISECONDS, trialStarts: [...trialStarts], ...place }
+  return { worker: `i-${worker}`, incarnation: at, pool: 'work', rack: `r${worker % 4}`, availabilityZone: 'a', earliestAt: at, latestAt: at + DETECTION_MILLISECONDS, isAbrupt: true, trialStarts: [...trialStarts], ...place }
 }
 
 const places = Array.from({ length: 20 }, (_, worker) => end(worker, 0))
@@ -44,6 +44,15 @@
   expect(policy.commonCause(end(0, 5_000, [4_980]), workers.map(worker => end(worker, 5_000, [4_970])), places.slice(1))).toBeNull()
   expect(policy.commonCause(end(0, 5_000, [4_000]), workers.map(worker => end(worker, 5_000, [4_050])), places.slice(1))).toBeNull()
   expect(policy.commonCause(end(0, 5_000, [4_000]), workers.map(worker => end(worker, 5_000, [3_000])), places.slice(1))).not.toBeNull()
+  const most = Array.from({ length: 12 }, (_, index) => index + 1)
+  expect(policy.commonCause(end(0, 5_000, [4_980]), most.map(worker => end(worker, 5_000, [4_970])), places.slice(1))).not.toBeNull()
+})
+
+test('ends of workers that give no response are no common cause of one that refuses connections, nor the reverse', () => {
+  const silent = places.slice(1).map((_, index) => end(index + 1, 1_000, [], { isAbrupt: false }))
+  expect(policy.commonCause(end(0, 1_000), silent, places.slice(1))).toBeNull()
+  expect(policy.commonCause(end(0, 1_000, [], { isAbrupt: false }), silent, places.slice(1))).not.toBeNull()
+  expect(policy.commonCause(end(0, 1_000, [], { isAbrupt: false }), silent.map(other => ({ ...other, isAbrupt: true })), places.slice(1))).toBeNull()
 })
 
 /** Whether a sound worker ends, and when, in a fleet where a fraction of the workers restarts every 3 s: all at once, or each by itself. */
