--- a/src/workers/fleet-worker.ts
+++ b/src/workers/fleet-worker.ts
@@ -4,19 +4,16 @@
 import { WORKER_CLOCK_RATE } from '../jobs/worker-clock-rate.js'
 import { INITIAL_HEALTH } from '../worker-health/initial-health.js'
 import type { ScheduledTask } from '../scheduling/scheduled-task.js'
-import type { WorkerClient } from '../workers/worker-client.js'
+import type { TaskRun } from '../scheduling/task-run.js'
 import { WorkerClockEstimate } from '../workers/worker-clock-estimate.js'
+import { WorkerContact } from './worker-contact.js'
 import type { WorkerEntry } from '../workers/worker-entry.js'
-import { WorkerReservations } from '../workers/worker-reservations.js'
 
 /** Allows for the time that a worker takes to kill its runs after its lease has expired. */
 const LEASE_EXPIRY_MARGIN_MILLISECONDS = 150
 
-/** Reason for giving up what waits for an incarnation. Node would otherwise create an error with a stack trace for each. */
-const INCARNATION_ENDED = new Error('the worker has restarted')
-
 /** Reservations, clock and lease of a worker in its current incarnation. */
-export class FleetWorker extends WorkerReservations {
+export class FleetWorker extends WorkerContact {
   override entry: WorkerEntry
   /** Whether the registry has shown the entry of the present incarnation. */
   isEntryCurrent = true
@@ -38,10 +35,10 @@
   health = INITIAL_HEALTH
   /** Epoch milliseconds until which other workers go before it, because a start got no response or runs failed in a row. */
   avoidedUntil = 0
-  /** Epoch milliseconds since which the worker may be unreachable: it gets nothing new before a later report. */
-  suspectedSince = 0
   /** Run completions up to this sequence number are in the journal. */
   acknowledgedSequence = 0
+  /** Up to this one the worker has answered a call that acknowledged them; another call might reach the next incarnation, whose completions have the same numbers. */
+  answeredSequence = 0
   /** Run completions up to this sequence number have been applied to the schedule. */
   appliedSequence = 0
   /**
@@ -51,29 +48,17 @@
   readonly unsettledRuns = new Map<string, number>()
   /** Highest fencing token that the present incarnation is known to have seen: it carries out no order with a lower one. */
   private _confirmedToken = 0
-  /** Epoch milliseconds of the last report; 0 before the first under this term. */
-  lastReportAt = 0
-  /** Epoch milliseconds by which the next report must have arrived; 0 after a failed call. Past it, the worker gets nothing new. */
-  reportDueAt = 0
-  /** Epoch milliseconds of the first failed call since the last report; 0 if none has failed. */
-  unreachableSince = 0
-  /** Epoch milliseconds of the last failed call, also if it has reported since; 0 if none has failed. */
-  failedCallAt = 0
-  /** Whether a connection to the worker has been refused since the last report: nothing listens at its address, or a network device says so. */
-  refusesConnections = false
   /** Whether the journal has, or is about to have, a bound on its leases: none is extended. */
   hasLeaseBound = false
   /** Epoch milliseconds by which its leases have expired according to that bound. */
   boundExpiresAt = 0
+  /** Epoch milliseconds by which leases have expired that unsettled starts of earlier owners may have set on the next incarnation; 0 if the journal says nothing. */
+  inheritedStartsExpireAt = 0
   /** Whether its withdrawal has been decided on. */
   isBoundWithdrawn = false
   /** Whether that bound says that the worker refuses connections, and that it has a successor. */
   isRefusalRecorded = false
   isSuccessorRecorded = false
-  /** Epoch milliseconds from which on the response to the present call is late; Infinity while none is awaited. */
-  responseOverdueAt = Infinity
-  /** Whether another worker has named its address while it refused connections: unless it reports again, it has ended. */
-  hasSuccessor = false
   /** What its clock shows, for the owners after this one. */
   readonly clockEstimate = new WorkerClockEstimate()
   /** Lower bound on the worker's clock at `lastReportAt`. */
@@ -82,27 +67,19 @@
   private _reportRequestedAt = 0
   /** Latest lease deadline that may have reached the worker, on the worker's clock. */
   private _leaseDeadline = 0
-  /** Client for calls to the worker; null for a placeholder and after its lease renewal has ended. */
-  client: WorkerClient | null = null
-
-  private _incarnationEnd = new AbortController()
   /** Whether other owners may have renewed leases of this incarnation. */
   private _hasInheritedLeases = true
 
   /**
    * @param _unknownLeasesExpireAt epoch milliseconds by which leases requested by other owners have expired.
    * @param _inheritedStartsOverAt epoch milliseconds by which no start of theirs is on its way any more.
+   * @param _maximumLeaseMilliseconds longest lease that a worker accepts, on its own clock.
    */
-  constructor (entry: WorkerEntry, private _unknownLeasesExpireAt: number, private readonly _inheritedStartsOverAt: number) {
+  constructor (entry: WorkerEntry, private _unknownLeasesExpireAt: number, private readonly _inheritedStartsOverAt: number, private readonly _maximumLeaseMilliseconds: number) {
     super()
     this.entry = entry
   }
 
-  /** Aborted when the worker is known to have restarted. */
-  get incarnationSignal (): AbortSignal {
-    return this._incarnationEnd.signal
-  }
-
   /** Rack of the worker: the second label, after the kind of VM; empty if unknown. */
   get rack (): string {
     return this.entry.labels[1] ?? ''
@@ -123,11 +100,6 @@
     return !this.isListed || this.lastReportAt > 0 || this.unreachableSince > 0
   }
 
-  /** Whether the worker doesn't respond: a call has failed since its last report, or there is nowhere to call it. */
-  get isSilent (): boolean {
-    return this.unreachableSince > 0 || (this.client === null && this.lastReportAt === 0)
-  }
-
   /** Tasks whose runs have started, and so end with the incarnation. */
   get startedTasks (): ScheduledTask[] {
     return [...this.tasks].filter(({ isStarted }) => isStarted)
@@ -138,7 +110,7 @@
    * keep their reservation until that incarnation reports, the start is over, or the lease has expired.
    */
   tasksOverWithIncarnation (now: number): ScheduledTask[] {
-    return now < this._inheritedStartsOverAt ? this.startedTasks : [...this.tasks].filter(({ isStarted, runState }) => isStarted || runState === 'inherited')
+    return [...this.tasks].filter(({ isStarted, isConfirmed, runState }) => isStarted || isConfirmed || (runState === 'inherited' && now >= this._inheritedStartsOverAt))
   }
 
   /** Whether its lease serves no run but such of which the start is unsettled: once it has expired, none of them runs or begins. */
@@ -161,7 +133,8 @@
     this._reportRequestedAt = requestedAt
     this.clockEstimate.record(workerClock, requestedAt, now)
     this.lastReportAt = now
-    this._clearFailedCalls()
+    this.isRestartSuspected = false
+    this.clearFailedCalls()
   }
 
   /** Records that the worker has answered a call with a fencing token. */
@@ -170,37 +143,26 @@
     for (const [run, startToken] of this.unsettledRuns) if (startToken < token) this.unsettledRuns.delete(run)
   }
 
-  /** Returns whether the response to the present call is late, so that it may not come. */
-  isResponseOverdue (now: number): boolean {
-    return now >= this.responseOverdueAt && this.tasks.size > 0
-  }
-
   /** Epoch milliseconds at which the last report was requested; 0 if this incarnation has not reported. */
   get reportRequestedAt (): number {
     return this._reportRequestedAt
   }
 
-  /** Records a failed call. */
-  recordFailedCall (isConnectionRefused: boolean, now: number): void {
-    this.failedCallAt = now
-    if (this.unreachableSince === 0) this.unreachableSince = now
-    if (isConnectionRefused) this.refusesConnections = true
-  }
-
   /**
    * Switches to a new incarnation and resets the clock, lease and sequence numbers of the previous one.
    *
    * @param now epoch milliseconds.
-   * @param unknownLeasesExpireAt epoch milliseconds by which any lease that orders to the previous incarnation may have extended has expired.
+   * @param unknownLeasesExpireAt epoch milliseconds by which any lease that orders to the previous incarnation may have extended has expired, unless they reached this one.
    */
   startIncarnation (incarnation: number, now: number, unknownLeasesExpireAt: number): void {
+    // Orders that reach this incarnation have deadlines on the clock of the previous one, by which it may set its longest lease.
+    this._unknownLeasesExpireAt = Math.max(unknownLeasesExpireAt, this._longestLeaseExpiresAt(Math.max(now, this._startCallsEndAt)))
     this.entry = { ...this.entry, incarnation }
     this.incarnationKnownAt = now
     this.isEntryCurrent = false
     this.hasOrphanedRuns = false
     this.unsettledRuns.clear()
     this._confirmedToken = 0
-    this._unknownLeasesExpireAt = unknownLeasesExpireAt
     this._hasInheritedLeases = false
     this._leaseDeadline = 0
     this._workerClockAtReport = 0
@@ -208,14 +170,14 @@
     this.clockEstimate.reset(0)
     this.lastReportAt = 0
     this.acknowledgedSequence = 0
+    this.answeredSequence = 0
     this.appliedSequence = 0
     this.hasLeaseBound = false
     this.isBoundWithdrawn = false
     this.responseOverdueAt = Infinity
-    this._clearFailedCalls()
-    const ended = this._incarnationEnd
-    this._incarnationEnd = new AbortController()
-    ended.abort(INCARNATION_ENDED)
+    this.isRestartSuspected = false
+    this.clearFailedCalls()
+    this.endCall()
   }
 
   /** Lowers the time by which leases requested by other owners have expired, in epoch milliseconds. */
@@ -237,9 +199,27 @@
     return Math.max(ownLeaseExpiresAt, this._unknownLeasesExpireAt)
   }
 
-  private _clearFailedCalls (): void {
-    this.unreachableSince = 0
-    this.refusesConnections = false
-    this.hasSuccessor = false
+  /**
+   * Epoch milliseconds by which a run has ended unless the lease is renewed, whichever incarnation it is on. A start without a response counts for the known incarnation: the worker is silent, and
+   * nothing tells a restart from a partition, in which the run would wait for a lease that nobody has set.
+   */
+  expiryOf (run: TaskRun): number {
+    if (run.runState === 'inherited' && !run.isStarted) return Math.max(this.leaseExpiresAt, this.inheritedStartsExpireAt)
+    return run.evidenceFrom === 0 || run.runState === 'settling' ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this._longestLeaseExpiresAt(this._startCallsEndAt))
+  }
+
+  /** Epoch milliseconds by which that holds for all runs, also for those whose start is unsettled. */
+  get runsExpireAt (): number {
+    return Math.max(this.leaseExpiresAt, ...[...this.tasks].map(run => this.expiryOf(run)))
+  }
+
+  /** Epoch milliseconds by which the calls with the start orders of all runs have ended; a lease serves all of them. */
+  private get _startCallsEndAt (): number {
+    return Math.max(...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt))
+  }
+
+  /** Returns the epoch milliseconds by which a lease has expired that an order carried out by `time` has set on an incarnation whose clock isn't known. */
+  private _longestLeaseExpiresAt (time: number): number {
+    return time + this._maximumLeaseMilliseconds / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
   }
 }
