--- a/src/crashes/run-isolation.ts
+++ b/src/crashes/run-isolation.ts
@@ -7,8 +7,11 @@
 /** Largest fraction of a pool's workers that take part in trials at once; one worker always may. */
 const MAXIMUM_TRIAL_FRACTION = 0.5
 
-/** Time for which a task waits for a trial, whatever its crashes, in milliseconds: with the time until its loss is known it is at work again within 6 s. */
-const TRIAL_PATIENCE_MILLISECONDS = 2_000
+/** Time for which a task that lasts waits for a trial, whatever its crashes, in milliseconds: with the time until its loss is known it is at work again within 6 s. */
+const LASTING_TRIAL_PATIENCE_MILLISECONDS = 2_000
+
+/** The same for other tasks. Longer, because suspects that start together are lost together if one of them is deadly. */
+const TRIAL_PATIENCE_MILLISECONDS = 8_000
 
 /** Exceeds the number of runs on any worker. */
 const MAXIMUM_RUNS_PER_WORKER = 10_000
@@ -33,14 +36,8 @@
 
   /** Notes that a task has found no worker for its trial although there may be room for it. */
   recordWait (task: ScheduledTask): void {
-    task.trialOverdueAt = Math.min(task.trialOverdueAt, this._now + TRIAL_PATIENCE_MILLISECONDS)
-  }
-
-  /** Lets a task wait for its trial, and withholds one of the workers with room for it. */
-  awaitTrial (task: ScheduledTask, workersWithRoom: readonly FleetWorker[]): void {
-    if (workersWithRoom.length === 0) return
-    this.recordWait(task)
-    this.withholdOne(workersWithRoom, task)
+    const patience = task.step.definition.isLasting ? LASTING_TRIAL_PATIENCE_MILLISECONDS : TRIAL_PATIENCE_MILLISECONDS
+    task.trialOverdueAt = Math.min(task.trialOverdueAt, this._now + patience)
   }
 
   /** Whether the task may start on a worker beside the runs that are there. */
