Take a quick response for one of the known incarnation

The next incarnation's clock can be taken for the known one's only in a call that takes longer than the age that the known one had reached, which is at least the time that its registration takes.

--- a/src/crashes/run-isolation.ts
+++ b/src/crashes/run-isolation.ts
@@ -40,6 +40,13 @@
     task.trialOverdueAt = Math.min(task.trialOverdueAt, this._now + patience)
   }
 
+  /** Lets a task wait for its trial, and withholds one of the workers with room for it. */
+  awaitTrial (task: ScheduledTask, workersWithRoom: readonly FleetWorker[]): void {
+    if (workersWithRoom.length === 0) return
+    this.recordWait(task)
+    this.withholdOne(workersWithRoom, task)
+  }
+
   /** Whether the task may start on a worker beside the runs that are there. */
   permits (task: ScheduledTask, worker: FleetWorker): boolean {
     const { crashes, step } = task
--- a/src/workers/worker-clock-estimate.ts
+++ b/src/workers/worker-clock-estimate.ts
@@ -7,15 +7,18 @@
 /** Time by which a clock may exceed its limits, in milliseconds; the processes read clocks in whole milliseconds. */
 const CONTRADICTION_TOLERANCE_MILLISECONDS = 50
 
+/** Least age of an incarnation when it is called for the first time, in milliseconds: its registration has to be stored and read before. */
+const LEAST_REPORTED_AGE_MILLISECONDS = 100
+
 /** Limits of a worker's clock, from its reports. A report tells what the clock showed at some moment between its request and its arrival. */
 export class WorkerClockEstimate {
   private _earliest = 0
   private _latest = Infinity
   /** Epoch milliseconds at which the two were true. */
   private _at = 0
-  /** Reading in the first report, and when the last one was requested. */
+  /** Readings in the first and in the last report. */
   private _first = 0
-  private _requestedAt = 0
+  private _last = 0
   /** Epoch milliseconds before which requests don't count. */
   private _validFrom = 0
 
@@ -29,7 +32,7 @@
     if (requestedAt < this._validFrom) return
     const earlier = this.read(receivedAt)
     if (!this.isKnown) this._first = clock
-    this._requestedAt = requestedAt
+    this._last = clock
     this._earliest = Math.max(earlier.earliest, clock)
     this._latest = Math.min(earlier.latest, clock + (receivedAt - requestedAt) * WORKER_CLOCK_RATE.fastest)
     this._at = receivedAt
@@ -52,8 +55,8 @@
   }
 
   /**
-   * Returns whether a response with the reading `clock` comes from another clock than the reports, and so from another incarnation; null if it may be of either. An incarnation that began after the
-   * last report can't show more than the time since then, from where clocks start, which the first report bounds.
+   * Returns whether a response with the reading `clock` comes from another clock than the reports, and so from another incarnation; null if it may be of either. The clock of the next incarnation is
+   * behind by the age that this one had reached, and during a call that takes longer it shows what this one's could have shown when the call was made.
    *
    * @param requestedAt epoch milliseconds at which the response was requested.
    * @param receivedAt epoch milliseconds at which it arrived.
@@ -63,8 +66,8 @@
     const sinceRequest = requestedAt - this._at
     const earliest = this._earliest + sinceRequest * (sinceRequest < 0 ? WORKER_CLOCK_RATE.fastest : WORKER_CLOCK_RATE.slowest)
     if (clock < earliest - CONTRADICTION_TOLERANCE_MILLISECONDS || this.isContradictedBy(clock, receivedAt)) return true
-    const latestOfNext = this._first + (receivedAt - this._requestedAt) * WORKER_CLOCK_RATE.fastest
-    return clock <= latestOfNext + CONTRADICTION_TOLERANCE_MILLISECONDS ? null : false
+    const reportedAge = Math.max(this._last - this._first, LEAST_REPORTED_AGE_MILLISECONDS)
+    return (receivedAt - requestedAt) * WORKER_CLOCK_RATE.fastest + CONTRADICTION_TOLERANCE_MILLISECONDS >= reportedAge ? null : false
   }
 
   /** Forgets everything known before `now` (epoch milliseconds), because another incarnation follows or the owner's clock has stood still. */
