Take the interval of the report that was awaited when a worker ended

Cause: a worker that had been idle at its last report is asked for 2 s, also when a task has started there since.

Change: the interval follows from the tasks that had started by the last report. A worker is withheld for a trial only while as many as may take part in trials don't; the rule moves from PlacementTask to RunIsolation.

--- a/src/crashes/evident-attribution-policy.ts
+++ b/src/crashes/evident-attribution-policy.ts
@@ -23,7 +23,7 @@
 /** Bound on how long before a refused call a worker may have ended, in milliseconds: its end breaks off the call that is under way. */
 const REFUSAL_DELAY_MILLISECONDS = 50
 
-/** Time after its last response by which a living worker reports again, with and without tasks, in milliseconds. A call that fails before has been broken off. */
+/** Time after its last report by which a living worker reports again, with and without tasks by then, in milliseconds. A call that fails before has been broken off. */
 const REPORT_INTERVAL_MILLISECONDS = 1_300
 const IDLE_REPORT_INTERVAL_MILLISECONDS = 2_300
 
@@ -111,7 +111,8 @@
     const isReported = lastReportAt > 0 && incarnation === worker.entry.incarnation
     const latestAt = isReported && unreachableSince > 0 ? unreachableSince : this._clock.now()
     const heardAt = isReported ? Math.max(lastReportAt, ...[...tasks].map(({ confirmedAt }) => confirmedAt === Infinity ? 0 : confirmedAt)) : this._startedAt - UNSEEN_MILLISECONDS
-    const isAbrupt = refusesConnections && unreachableSince > 0 && unreachableSince - heardAt < (tasks.size > 0 ? REPORT_INTERVAL_MILLISECONDS : IDLE_REPORT_INTERVAL_MILLISECONDS)
+    const reportInterval = [...tasks].some(({ startOrderedAt }) => startOrderedAt <= lastReportAt) ? REPORT_INTERVAL_MILLISECONDS : IDLE_REPORT_INTERVAL_MILLISECONDS
+    const isAbrupt = refusesConnections && unreachableSince > 0 && unreachableSince - lastReportAt < reportInterval
     const earliestAt = isAbrupt ? Math.max(heardAt, latestAt - REFUSAL_DELAY_MILLISECONDS) : heardAt
     return {
       ...this._placeOf(worker),
--- a/src/crashes/run-isolation.ts
+++ b/src/crashes/run-isolation.ts
@@ -34,10 +34,17 @@
     return group.some(({ crashes, isolationDeadline }) => crashes.requiresIsolation || (crashes.needsIsolation && isolationDeadline > this._now))
   }
 
-  /** Notes that a task has found no worker for its trial although there may be room for it. */
-  recordWait (task: ScheduledTask): void {
+  /**
+   * Lets a task for which there is room wait for its trial, and withholds a worker for it, unless as many of its pool as may take part in trials.
+   *
+   * @param workers those of the pool.
+   * @param workersWithRoom those of them with room for the task.
+   */
+  awaitTrial (task: ScheduledTask, workers: readonly FleetWorker[], workersWithRoom: readonly FleetWorker[]): void {
+    if (workersWithRoom.length === 0) return
     const patience = task.step.definition.isLasting ? LASTING_TRIAL_PATIENCE_MILLISECONDS : TRIAL_PATIENCE_MILLISECONDS
     task.trialOverdueAt = Math.min(task.trialOverdueAt, this._now + patience)
+    if (this.hasRoom(workers, task)) this.withholdOne(workersWithRoom, task)
   }
 
   /** Whether the task may start on a worker beside the runs that are there. */
--- a/src/placement/placement-task.ts
+++ b/src/placement/placement-task.ts
@@ -185,13 +185,9 @@
     const placed: ScheduledTask[] = []
     for (const task of tasks) {
       if (!this._isWithinUpperLimit(task)) break
-      if (!isolation.hasRoom(workers, task)) {
-        isolation.recordWait(task)
-        continue
-      }
-      const worker = isolation.choose(this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation))
+      const worker = isolation.hasRoom(workers, task) ? isolation.choose(this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation)) : null
       if (!worker) {
-        this._awaitTrial(task, this._workersWithCapacity(task, workers), isolation)
+        isolation.awaitTrial(task, workers, this._workersWithCapacity(task, workers))
         continue
       }
       task.isIsolated = true
@@ -211,7 +207,7 @@
       task.isIsolated = isIsolated
       const isWithinLimit = this._isWithinUpperLimit(task)
       const worker = isWithinLimit ? this._rules.policy.chooseWorker(task, this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation)) : null
-      if (!worker && isWithinLimit && isIsolated) this._awaitTrial(task, this._workersWithCapacity(task, workers), isolation)
+      if (!worker && isWithinLimit && isIsolated) isolation.awaitTrial(task, workers, this._workersWithCapacity(task, workers))
       if (!worker) break
       this._fleet.reservations.reserve(task, worker)
       placed.push(task)
@@ -229,13 +225,6 @@
     return placed
   }
 
-  /** Withholds one of the workers with room for a suspected task's trial. */
-  private _awaitTrial (task: ScheduledTask, workersWithRoom: readonly FleetWorker[], isolation: RunIsolation): void {
-    if (workersWithRoom.length === 0) return
-    isolation.recordWait(task)
-    isolation.withholdOne(workersWithRoom, task)
-  }
-
   private _isWithinUpperLimit ({ step }: ScheduledTask): boolean {
     return this._fleet.reservations.teamUsage.isWithinUpperLimit(step.job.view.submission.team, step.definition.demand)
   }
