--- a/src/placement/placement-task.ts
+++ b/src/placement/placement-task.ts
@@ -175,13 +175,9 @@
     const placed: ScheduledTask[] = []
     for (const task of tasks) {
       if (!this._isWithinUpperLimit(task)) break
-      if (!isolation.hasRoom(workers, task)) {
-        isolation.recordWait(task)
-        continue
-      }
-      const worker = isolation.choose(this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation))
+      const worker = isolation.hasRoom(workers, task) ? isolation.choose(this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation)) : null
       if (!worker) {
-        isolation.awaitTrial(task, this._workersWithCapacity(task, workers))
+        isolation.awaitTrial(task, workers, this._workersWithCapacity(task, workers))
         continue
       }
       task.isIsolated = true
@@ -201,7 +197,7 @@
       task.isIsolated = isIsolated
       const isWithinLimit = this._isWithinUpperLimit(task)
       const worker = isWithinLimit ? this._rules.policy.chooseWorker(task, this._candidateWorkers(task, this._workersWithRoom(task, workers), isolation)) : null
-      if (!worker && isWithinLimit && isIsolated) isolation.awaitTrial(task, this._workersWithCapacity(task, workers))
+      if (!worker && isWithinLimit && isIsolated) isolation.awaitTrial(task, workers, this._workersWithCapacity(task, workers))
       if (!worker) break
       this._fleet.reservations.reserve(task, worker)
       placed.push(task)
