--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/6 and later start, after the build of the deploy file.
+# Builds the stand-ins that the scripts of review/6 to review/10 start, after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 node review/stand-ins-2/build.mjs
--- a/review/stand-ins-2/gang-minions.ts
+++ b/review/stand-ins-2/gang-minions.ts
@@ -21,6 +21,8 @@
   readonly checkpoint: string
   readonly startedAt: number
   readonly minion: GangMinion
+  /** Whether the task is a gang's; others run on until they are stopped. */
+  readonly isGang: boolean
 }
 
 /** Tells what the minions have seen. */
@@ -61,6 +63,7 @@
   }
 
   percentOf (run: Run): number {
+    if (!run.isGang) return 100
     return Math.min(99, Math.floor(workOf(this.checkpointOf(run)) / this._workMilliseconds * 100))
   }
 
@@ -80,7 +83,7 @@
 
   private _advance (): void {
     const counts = new Map<string, number>()
-    for (const run of this._runs) counts.set(this._keyOf(run), (counts.get(this._keyOf(run)) ?? 0) + 1)
+    for (const run of this._runs) if (run.isGang) counts.set(this._keyOf(run), (counts.get(this._keyOf(run)) ?? 0) + 1)
     for (const [key, count] of counts) {
       if (count === this._size && !this._completeSince.has(key)) {
         this._completeSince.set(key, Date.now())
@@ -89,7 +92,9 @@
     }
     for (const run of [...this._runs]) {
       if (!this._runs.has(run)) continue
-      if (!this._completeSince.has(this._keyOf(run))) {
+      if (!run.isGang) {
+        if (run.minion.hasLapsed) this.end(run, 'lapsed')
+      } else if (!this._completeSince.has(this._keyOf(run))) {
         if (Date.now() >= run.startedAt + GANG_TIMEOUT_MILLISECONDS) this.end(run, 'alone')
       } else if (workOf(this.checkpointOf(run)) >= this._workMilliseconds) this.end(run, 'done')
       else if (run.minion.hasLapsed) this.end(run, 'lapsed')
@@ -129,13 +134,13 @@
     for (const run of this._gangs.of(this)) this._gangs.end(run, 'lost')
   }
 
-  async handle (call: string, body: { task: string, run: number, deadline_ms?: number, fencing_token?: number, last_seen?: number, wait_ms?: number, last_checkpoint?: string }): Promise<{ status: number, body: object }> {
+  async handle (call: string, body: { task: string, run: number, deadline_ms?: number, fencing_token?: number, last_seen?: number, wait_ms?: number, last_checkpoint?: string, spec?: string }): Promise<{ status: number, body: object }> {
     const token = body.fencing_token ?? 0
     if (token < this._token) return this._refuse('fence')
     this._token = token
     if (body.deadline_ms !== undefined) this._deadline = Math.max(this._deadline, Math.min(body.deadline_ms, this._clock + LONGEST_LEASE_MILLISECONDS))
     switch (call) {
-      case 'run-start': return this._start(body.task, body.run, body.last_checkpoint ?? '')
+      case 'run-start': return this._start(body.task, body.run, body.last_checkpoint ?? '', body.spec === 'gang')
       case 'run-stop': return this._stop(body.task, body.run)
       case 'hold': return this._hold(body.last_seen ?? 0, body.wait_ms ?? 0)
       default: return { status: 200, body: { clock_ms: this._clock } }
@@ -146,12 +151,12 @@
     return 1_000 + Date.now() - this.born
   }
 
-  private _start (task: string, run: number, checkpoint: string): { status: number, body: object } {
+  private _start (task: string, run: number, checkpoint: string, isGang: boolean): { status: number, body: object } {
     if (this._gangs.of(this).some(other => other.task === task && other.run === run)) return { status: 200, body: { clock_ms: this._clock } }
     if (run <= (this._highest.get(task) ?? 0)) return this._refuse('old')
     if (this.hasLapsed) return this._refuse('late')
     this._highest.set(task, run)
-    this._gangs.add({ task, run, checkpoint, startedAt: Date.now(), minion: this })
+    this._gangs.add({ task, run, checkpoint, startedAt: Date.now(), minion: this, isGang })
     this._record({ started: task, run, checkpoint, worker: this.id })
     return { status: 200, body: { clock_ms: this._clock } }
   }
--- a/review/stand-ins-2/gang-scenario.mjs
+++ b/review/stand-ins-2/gang-scenario.mjs
@@ -1,5 +1,6 @@
-// Plays a small deployment with gangs of which a minion crashes once: `node gang-scenario.mjs FOLDER SECONDS`.
-// Exits with 1 if a job has nothing running long after the crash, as the rule LOST says, 0 if not, and 2 if the case couldn't run. With TROUBLE=0 no minion crashes.
+// Plays a small deployment with gangs of which a minion crashes once: `node gang-scenario.mjs FOLDER SECONDS RULE`.
+// Exits with 1 if the rule was broken, 0 if not, and 2 if the case couldn't run. With TROUBLE=0 no minion crashes.
+// LOST: a job has nothing running long after the crash. GANG: runs end `alone` long after the crash, while tasks that last keep each minion in its pool.
 import { spawn } from 'node:child_process'
 import { randomBytes } from 'node:crypto'
 import { createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
@@ -10,7 +11,7 @@
 import { createInterface } from 'node:readline'
 import { setTimeout as delay } from 'node:timers/promises'
 
-const [folder, seconds] = process.argv.slice(2)
+const [folder, seconds, rule] = process.argv.slice(2)
 const isTroubled = process.env.TROUBLE !== '0'
 
 const ZONES = ['a', 'b', 'c']
@@ -20,6 +21,7 @@
 const SETTLING_MILLISECONDS = 1_000
 
 /** Gangs of three tasks with ten seconds of work; the crash comes after four. */
+const MINIONS = 6
 const JOBS = 4
 const GANG_SIZE = 3
 const WORK_MILLISECONDS = 10_000
@@ -53,6 +55,8 @@
 const nodes = []
 const jobs = []
 const activeRuns = new Map()
+const starts = []
+const aloneAt = []
 const seen = { backAt: Infinity, isClosing: false, minions: {} }
 
 function start (program, words) {
@@ -106,6 +110,8 @@
 
 function readPlatform (message) {
   if (message.back) seen.backAt = Date.now()
+  if (message.started) starts.push(message)
+  if (message.how === 'alone') aloneAt.push(Date.now())
   if (message.started) activeRuns.set(message.started, (activeRuns.get(message.started) ?? 0) + 1)
   if (message.ended) activeRuns.set(message.ended, (activeRuns.get(message.ended) ?? 0) - 1)
   if (message.lost) activeRuns.set(message.lost, (activeRuns.get(message.lost) ?? 0) - 1)
@@ -115,7 +121,7 @@
 
 function startPlatform () {
   const network = `127.${16 + process.pid % 200}`
-  const platform = start(process.execPath, ['target/review-2/gang-platform.mjs', network, '6', QUEUE_HOST, String(GANG_SIZE), String(WORK_MILLISECONDS), isTroubled ? String(CRASH_AFTER_MILLISECONDS) : '0'])
+  const platform = start(process.execPath, ['target/review-2/gang-platform.mjs', network, String(MINIONS), QUEUE_HOST, String(GANG_SIZE), String(WORK_MILLISECONDS), isTroubled ? String(CRASH_AFTER_MILLISECONDS) : '0'])
   return new Promise((resolve, reject) => {
     platform.once('exit', () => reject(new Error('the platform has ended')))
     createInterface({ input: platform.stdout }).on('line', line => {
@@ -135,12 +141,21 @@
   throw new Error(`${name} isn't ready`)
 }
 
+/** Hands in a job with one lasting task a minion, so that the pool keeps all of them. */
+async function startKeepers () {
+  const body = JSON.stringify({ spec: 'lasting', steps: [{ count: MINIONS, cpu: 1_000, mem_mb: 256, daemon: true, anti_affinity: 1 }] })
+  const { status } = await call(nodes[0].host, nodes[0].ports.front, 'POST', `/q/${randomBytes(8).toString('hex')}`, body)
+  note('the job with lasting tasks handed in, answer', status)
+  await delay(SETTLING_MILLISECONDS)
+}
+
 async function play () {
   const addresses = await startPlatform()
   for (const [index, zone] of ZONES.entries()) await startNode(zone, index, addresses)
   for (const node of nodes) await untilReady(node)
   // By then one of them places tasks, and the pool still has all its minions.
   await delay(SETTLING_MILLISECONDS)
+  if (rule === 'GANG') await startKeepers()
   const body = JSON.stringify({ spec: 'gang', steps: [{ count: GANG_SIZE, cpu: 4_000, mem_mb: 256, estimate_ms: WORK_MILLISECONDS, gang: true, saves_progress: true, anti_affinity: 1 }] })
   for (let index = 0; index < JOBS; index++) {
     const { host, ports } = nodes[index % nodes.length]
@@ -171,18 +186,34 @@
   if (now > seen.backAt + FINISH_MILLISECONDS) job.longestIdle = Math.max(job.longestIdle, now - Math.max(job.idleSince, seen.backAt + FINISH_MILLISECONDS))
 }
 
+/** Runs of gangs whose members were started with different checkpoints. */
+function mixedRuns () {
+  const values = new Map()
+  for (const { started, run, checkpoint } of starts) {
+    const gang = `${started.split('.').slice(0, 3).join('.')}/${run}`
+    values.set(gang, (values.get(gang) ?? new Set()).add(checkpoint))
+  }
+  return [...values].filter(([, checkpoints]) => checkpoints.size > 1)
+}
+
+/** Prints what was seen, and returns the number of breaks of the rule. */
 function report () {
   const idle = jobs.filter(({ state, longestIdle }) => state !== 'completed' && longestIdle > NOTHING_RUNNING_MILLISECONDS)
+  const lateAlone = aloneAt.filter(at => at > seen.backAt + FINISH_MILLISECONDS)
+  const mixed = mixedRuns()
   const summary = [
     `gangs: ${jobs.length} accepted, ${jobs.filter(({ state }) => state === 'completed').length} completed`,
-    `with nothing running for more than 3 s, from 14 s after the minion's return on: ${idle.length}, ${idle.map(({ longestIdle }) => longestIdle).join(', ')} ms`,
+    `with nothing running for more than 3 s, from 14 s after the minion's return on: ${idle.length}`,
+    `runs that ended alone: ${aloneAt.length}, of which ${lateAlone.length} more than 14 s after the minion's return`,
+    `runs of gangs whose members were started with different checkpoints: ${mixed.length}`,
+    ...mixed.slice(0, 3).map(([gang, checkpoints]) => `  ${gang}: ${[...checkpoints].map(value => value || '(none)').join(', ')}`),
     `minions by pool at the end: ${JSON.stringify(seen.minions)}`
   ]
   for (const line of summary) {
     note(line)
     process.stdout.write(`${line}\n`)
   }
-  return idle.length
+  return rule === 'GANG' ? lateAlone.length : idle.length
 }
 
 async function close () {
