Count leases that a late start may extend for all runs of a restarted worker

Cause: a deadline applies to everything that runs on a worker. A start that was meant for the former incarnation has a deadline on that one's clock, by which the next incarnation grants its longest lease to all its runs, also to one that it accepted before. The owner counted the lease that it had set itself, or the usual one for an incarnation of which an earlier owner knew.

Now the lease of an incarnation counts the starts that may reach it late as well, until it has answered a call with a higher token; of an earlier owner's starts, only if the incarnation had been up for less than the longest delay of a call at the claim.

--- a/src/workers/fleet-worker.ts
+++ b/src/workers/fleet-worker.ts
@@ -55,6 +55,8 @@
   boundExpiresAt = 0
   /** Epoch milliseconds by which leases have expired that unsettled starts of earlier owners may have set on the next incarnation; 0 if the journal says nothing. */
   inheritedStartsExpireAt = 0
+  /** Whether this incarnation had been up for less than the longest delay of a call when this owner learned of it. */
+  isYoung = false
   /** Whether its withdrawal has been decided on. */
   isBoundWithdrawn = false
   /** Whether that bound says that the worker refuses connections, and that it has a successor. */
@@ -141,6 +143,7 @@
    * @param requestedAt epoch milliseconds at which it was requested; the worker's clock was read after that.
    */
   recordReport (workerClock: number, now: number, requestedAt: number): void {
+    if (this.lastReportAt === 0 && this._lateLeaseExpiresAt > 0) this._unknownLeasesExpireAt = Math.max(this._unknownLeasesExpireAt, this.longestLeaseExpiresAt(now))
     this._workerClockAtReport = workerClock
     this._reportRequestedAt = requestedAt
     this.clockEstimate.record(workerClock, requestedAt, now)
@@ -207,9 +210,22 @@
 
   /** Epoch milliseconds by which all runs on the worker have ended unless the lease is renewed. */
   get leaseExpiresAt (): number {
-    if (this.lastReportAt === 0) return this._unknownLeasesExpireAt
+    if (this.lastReportAt === 0) return Math.max(this._unknownLeasesExpireAt, this._lateLeaseExpiresAt)
     const ownLeaseExpiresAt = this.lastReportAt + Math.max(0, this._leaseDeadline - this._workerClockAtReport) / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
-    return Math.max(ownLeaseExpiresAt, this._unknownLeasesExpireAt)
+    return Math.max(ownLeaseExpiresAt, this._unknownLeasesExpireAt, this.unsettledRuns.size > 0 ? this._lateLeaseExpiresAt : 0)
+  }
+
+  /**
+   * Epoch milliseconds by which leases have expired that starts meant for the former incarnation may set on the present one, for all of its runs; 0 if none can. An incarnation of which an earlier
+   * owner knew may have a former one only if it is young.
+   */
+  private get _lateLeaseExpiresAt (): number {
+    let expiresAt = 0
+    for (const run of this.tasks) {
+      const mayPrecede = run.runState === 'inherited' ? this.isYoung : run.startOrderedAt < this.incarnationKnownAt
+      if (run.mayBeginLate && mayPrecede && !this._refusesStartOf(run)) expiresAt = Math.max(expiresAt, this._lateStartExpiresAt(run))
+    }
+    return expiresAt
   }
 
   /**
--- a/src/workers/worker-table.ts
+++ b/src/workers/worker-table.ts
@@ -21,6 +21,9 @@
 /** Age of the registry's view above which a capacity may have shrunk without notice, in milliseconds. */
 const MAXIMUM_CAPACITY_AGE_MILLISECONDS = 2_000
 
+/** Allows for the difference between the times of day of a worker and of this process, in milliseconds. */
+const MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS = 3_000
+
 /** Listed workers, and unlisted ones that may still run something. */
 export class WorkerTable {
   private readonly _workers = new Map<string, FleetWorker>()
@@ -196,6 +199,7 @@
     worker.hasLeaseBound = this._earlierOwners.leaseBound(entry.id, entry.incarnation) !== null
     worker.inheritedStartsExpireAt = this._inheritedLeases.startsExpiryOf(entry.id)
     worker.boundExpiresAt = Infinity
+    worker.isYoung = this._clock.timeOfDay() < entry.incarnation + this._inheritedLeases.limits.maximumCallDelayMilliseconds + MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS
     worker.incarnationKnownAt = this._clock.now()
     worker.isCordoned = this._cordonedIds.has(entry.id)
     return worker
--- a/tests/restart-series.test.ts
+++ b/tests/restart-series.test.ts
@@ -19,7 +19,7 @@
 const SEEDS_WITH_INHERITED_LEASES = [[157, 'prompt'], [922, 'prompt'], [272, 'late'], [287, 'late']] as const
 
 /** Seeds of series in which an incarnation that no owner has called carries out a start. */
-const SEEDS_WITH_LATE_STARTS = [17, 28, 136]
+const SEEDS_WITH_LATE_STARTS = [17, 28, 136, 291]
 
 /** Seeds of series in which runs start on restarted workers, and calls are carried out on connections that were made late. */
 const SEEDS_WITH_LATE_CONNECTIONS = [44, 76]
