--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -7,6 +7,7 @@
 import type { Observability } from '../observability/observability.js'
 import type { TaskCopies } from '../speculation/task-copies.js'
 import type { AttemptBudget } from './attempt-budget.js'
+import { bindToWorker } from './bind-to-worker.js'
 import { ScheduleChanges } from './schedule-changes.js'
 import type { DecisionWriterTask } from './decision-writer-task.js'
 import type { FleetWorker } from '../workers/fleet-worker.js'
@@ -106,7 +107,7 @@
     task.hasBegun = true
     this._observability.metrics.count('runs.lost')
     this._observability.log.emit('run lost', { task: task.name, run: task.run, worker: task.workerId, cause })
-    this._bindToWorker(task)
+    bindToWorker(task, this._fleetTime, this._observability)
     this.requeue(task)
   }
 
@@ -191,26 +192,6 @@
     for (const { run, role, evidence } of crashes) this.recordCrash(task, { run, role, evidence })
   }
 
-  /**
-   * Lets a task start under the ID of its worker only, for as long as the start of the run that is given up may be carried out there: an incarnation that has seen a higher fencing token refuses it, and
-   * the next run ends with that incarnation.
-   */
-  private _bindToWorker (task: ScheduledTask): void {
-    const { worker, step } = task
-    if (!worker || task.phase !== 'placed' || !task.mayBeginLate || step.definition.isSpeculative) return
-    const { id, incarnation } = worker.entry
-    // An incarnation that responds, but to no start, would keep the task.
-    if (task.lateStart?.worker === id && task.lateStart.incarnation === incarnation && !worker.isSilent) {
-      task.unresponsiveIncarnation = incarnation
-      worker.unbind(task)
-    }
-    if (task.unresponsiveIncarnation === incarnation) return
-    const until = Math.max(this._fleetTime.fromLocal(worker.startOverAt(task)), task.lateStart?.until ?? 0)
-    task.lateStart = { worker: id, incarnation, until: Math.round(until) }
-    worker.bind(task, this._observability.clock.now())
-    this._observability.log.emit('start may be late', { task: task.name, run: task.run, worker: id, until: task.lateStart.until })
-  }
-
   private _startRun (task: ScheduledTask, worker: FleetWorker, run: number, placedAt: number): void {
     if (task.run !== run || task.worker !== worker || task.runState !== 'intended') return
     const now = this._observability.clock.now()
--- a/src/workers/fleet-worker.ts
+++ b/src/workers/fleet-worker.ts
@@ -6,15 +6,13 @@
 import { INITIAL_HEALTH } from '../worker-health/initial-health.js'
 import type { ScheduledTask } from '../scheduling/scheduled-task.js'
 import type { TaskRun } from '../scheduling/task-run.js'
+import { LEASE_EXPIRY_MARGIN_MILLISECONDS } from './lease-expiry-margin.js'
 import { WorkerClockEstimate } from '../workers/worker-clock-estimate.js'
-import { WorkerContact } from './worker-contact.js'
 import type { WorkerEntry } from '../workers/worker-entry.js'
-
-/** Allows for the time that a worker takes to kill its runs after its lease has expired. */
-const LEASE_EXPIRY_MARGIN_MILLISECONDS = 150
+import { WorkerStarts } from './worker-starts.js'
 
 /** Reservations, clock and lease of a worker in its current incarnation. */
-export class FleetWorker extends WorkerContact {
+export class FleetWorker extends WorkerStarts {
   override entry: WorkerEntry
   /** Whether the registry has shown the entry of the present incarnation. */
   isEntryCurrent = true
@@ -22,8 +20,6 @@
   isListed = true
   /** Epoch milliseconds at which this term first saw the registry entry; 0 for a placeholder. */
   firstSeenAt = 0
-  /** Epoch milliseconds by which this term knew of the present incarnation. */
-  incarnationKnownAt = Infinity
   /** Whether the worker has reported runs that no placement accounts for, so that more of its resources are in use than are reserved. */
   hasOrphanedRuns = false
   /** Number of runs and completions in the last report that could not be decoded. */
@@ -42,21 +38,10 @@
   answeredSequence = 0
   /** Run completions up to this sequence number have been applied to the schedule. */
   appliedSequence = 0
-  /**
-   * Fencing tokens of the starts that got no response, by `TASK/RUN`. Until a call with a higher token or the stop of the run has been answered, the run may begin
-   * for as long as the lease is extended.
-   */
-  readonly unsettledRuns = new Map<string, number>()
-  /** Highest fencing token that the present incarnation is known to have seen: it carries out no order with a lower one. */
-  private _confirmedToken = 0
   /** Whether the journal has, or is about to have, a bound on its leases: none is extended. */
   hasLeaseBound = false
   /** Epoch milliseconds by which its leases have expired according to that bound. */
   boundExpiresAt = 0
-  /** Epoch milliseconds by which leases have expired that unsettled starts of earlier owners may have set on the next incarnation; 0 if the journal says nothing. */
-  inheritedStartsExpireAt = 0
-  /** Whether this incarnation had been up for less than the longest delay of a call when this owner learned of it. */
-  isYoung = false
   /** Whether its withdrawal has been decided on. */
   isBoundWithdrawn = false
   /** Whether that bound says that the worker refuses connections, and that it has a successor. */
@@ -75,11 +60,11 @@
 
   /**
    * @param _unknownLeasesExpireAt epoch milliseconds by which leases requested by other owners have expired.
-   * @param _inheritedStartsOverAt epoch milliseconds by which no start of theirs is on its way any more.
-   * @param _limits longest lease that a worker accepts, on its own clock, and longest time from a call without a response until it may be carried out.
+   * @param inheritedStartsOverAt epoch milliseconds by which no start of theirs is on its way any more.
+   * @param limits longest lease that a worker accepts, on its own clock, and longest time from a call without a response until it may be carried out.
    */
-  constructor (entry: WorkerEntry, private _unknownLeasesExpireAt: number, private readonly _inheritedStartsOverAt: number, private readonly _limits: Pick<FleetTimings, 'maximumLeaseMilliseconds' | 'maximumCallDelayMilliseconds'>) {
-    super()
+  constructor (entry: WorkerEntry, private _unknownLeasesExpireAt: number, inheritedStartsOverAt: number, limits: Pick<FleetTimings, 'maximumLeaseMilliseconds' | 'maximumCallDelayMilliseconds'>) {
+    super(inheritedStartsOverAt, limits)
     this.entry = entry
   }
 
@@ -108,42 +93,13 @@
     return [...this.tasks].filter(({ isStarted }) => isStarted)
   }
 
-  /** Whether a task has a run on the worker, or may start under its ID only: it is called until it has no such task. */
-  get isNeeded (): boolean {
-    return this.tasks.size > 0 || this.boundTasks.size > 0
-  }
-
-  /**
-   * Returns the epoch milliseconds from which on evidence that no incarnation under the ID is there shows that a run is over; Infinity if none does. A start that is still on its way may
-   * be carried out by the next incarnation.
-   */
-  endEvidenceFrom (run: TaskRun): number {
-    if (run.isStarted || run.isConfirmed) return run.evidenceFrom
-    return run.runState === 'settling' || run.runState === 'inherited' ? this.startOverAt(run) : Infinity
-  }
-
-  /** Returns the epoch milliseconds from which on the start of a run is too old to be carried out. */
-  startOverAt ({ runState, startCallEndsAt }: TaskRun): number {
-    return runState === 'inherited' ? this._inheritedStartsOverAt : startCallEndsAt + this._limits.maximumCallDelayMilliseconds
-  }
-
-  /** Whether its lease serves no run but such of which the start is unsettled: once it has expired, none of them runs or begins. */
-  get hasOnlyUnsettledRuns (): boolean {
-    return this.unsettledRuns.size + this.tasks.size > 0 && [...this.tasks].every(({ runState }) => runState === 'settling')
-  }
-
-  /** Whether the worker may not have seen the token that is in force, so that it may carry out orders with a lower one. */
-  get isFenceUnconfirmed (): boolean {
-    return this.client !== null && this.client.fence.token > this._confirmedToken
-  }
-
   /**
    * Records the time of a report, on the worker's clock and on the owner's.
    *
    * @param requestedAt epoch milliseconds at which it was requested; the worker's clock was read after that.
    */
   recordReport (workerClock: number, now: number, requestedAt: number): void {
-    if (this.lastReportAt === 0 && this._lateLeaseExpiresAt > 0) this._unknownLeasesExpireAt = Math.max(this._unknownLeasesExpireAt, this.longestLeaseExpiresAt(now))
+    if (this.lastReportAt === 0 && this.lateLeaseExpiresAt > 0) this._unknownLeasesExpireAt = Math.max(this._unknownLeasesExpireAt, this.longestLeaseExpiresAt(now))
     this._workerClockAtReport = workerClock
     this._reportRequestedAt = requestedAt
     this.clockEstimate.record(workerClock, requestedAt, now)
@@ -152,12 +108,6 @@
     this.clearFailedCalls()
   }
 
-  /** Records that the worker has answered a call with a fencing token. */
-  confirmToken (token: number): void {
-    this._confirmedToken = Math.max(this._confirmedToken, token)
-    for (const [run, startToken] of this.unsettledRuns) if (startToken < token) this.unsettledRuns.delete(run)
-  }
-
   /** Epoch milliseconds at which the last report was requested; 0 if this incarnation has not reported. */
   get reportRequestedAt (): number {
     return this._reportRequestedAt
@@ -171,13 +121,12 @@
    */
   startIncarnation (incarnation: number, now: number, unknownLeasesExpireAt: number): void {
     // Orders that reach this incarnation have deadlines on the clock of the previous one, by which it may set its longest lease.
-    this._unknownLeasesExpireAt = Math.max(unknownLeasesExpireAt, this.longestLeaseExpiresAt(Math.max(now, this._startCallsEndAt)))
+    this._unknownLeasesExpireAt = Math.max(unknownLeasesExpireAt, this.longestLeaseExpiresAt(Math.max(now, this.startCallsEndAt)))
     this.entry = { ...this.entry, incarnation }
     this.incarnationKnownAt = now
     this.isEntryCurrent = false
     this.hasOrphanedRuns = false
-    this.unsettledRuns.clear()
-    this._confirmedToken = 0
+    this.forgetTokens()
     this._hasInheritedLeases = false
     this._leaseDeadline = 0
     this._workerClockAtReport = 0
@@ -210,22 +159,9 @@
 
   /** Epoch milliseconds by which all runs on the worker have ended unless the lease is renewed. */
   get leaseExpiresAt (): number {
-    if (this.lastReportAt === 0) return Math.max(this._unknownLeasesExpireAt, this._lateLeaseExpiresAt)
+    if (this.lastReportAt === 0) return Math.max(this._unknownLeasesExpireAt, this.lateLeaseExpiresAt)
     const ownLeaseExpiresAt = this.lastReportAt + Math.max(0, this._leaseDeadline - this._workerClockAtReport) / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
-    return Math.max(ownLeaseExpiresAt, this._unknownLeasesExpireAt, this.unsettledRuns.size > 0 ? this._lateLeaseExpiresAt : 0)
-  }
-
-  /**
-   * Epoch milliseconds by which leases have expired that starts meant for the former incarnation may set on the present one, for all of its runs; 0 if none can. An incarnation of which an earlier
-   * owner knew may have a former one only if it is young.
-   */
-  private get _lateLeaseExpiresAt (): number {
-    let expiresAt = 0
-    for (const run of this.tasks) {
-      const mayPrecede = run.runState === 'inherited' ? this.isYoung : run.startOrderedAt < this.incarnationKnownAt
-      if (run.mayBeginLate && mayPrecede && !this._refusesStartOf(run)) expiresAt = Math.max(expiresAt, this._lateStartExpiresAt(run))
-    }
-    return expiresAt
+    return Math.max(ownLeaseExpiresAt, this._unknownLeasesExpireAt, this.unsettledRuns.size > 0 ? this.lateLeaseExpiresAt : 0)
   }
 
   /**
@@ -233,31 +169,12 @@
    * longest lease, unless the present one has seen a higher fencing token.
    */
   expiryOf (run: TaskRun): number {
-    if (run.mayBeginLate) return this._refusesStartOf(run) ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this._lateStartExpiresAt(run))
-    return run.evidenceFrom === 0 ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this.longestLeaseExpiresAt(this._startCallsEndAt))
-  }
-
-  private _lateStartExpiresAt (run: TaskRun): number {
-    return run.runState === 'inherited' ? this.inheritedStartsExpireAt : this.longestLeaseExpiresAt(this.startOverAt(run))
-  }
-
-  /** Whether the present incarnation has seen a higher fencing token than that of the start of a run. */
-  private _refusesStartOf ({ runState, startToken }: TaskRun): boolean {
-    return runState === 'inherited' ? this._confirmedToken > 0 : startToken < this._confirmedToken
+    if (run.mayBeginLate) return this.refusesStartOf(run) ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this.lateStartExpiresAt(run))
+    return run.evidenceFrom === 0 ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this.longestLeaseExpiresAt(this.startCallsEndAt))
   }
 
   /** Epoch milliseconds by which that holds for all runs, also for those whose start is unsettled. */
   get runsExpireAt (): number {
     return Math.max(this.leaseExpiresAt, ...[...this.tasks].map(run => this.expiryOf(run)))
   }
-
-  /** Epoch milliseconds by which the calls with the start orders of all runs have ended; a lease serves all of them. */
-  private get _startCallsEndAt (): number {
-    return Math.max(...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt))
-  }
-
-  /** Returns the epoch milliseconds by which a lease has expired that an order carried out by `time` has set on an incarnation whose clock isn't known. */
-  longestLeaseExpiresAt (time: number): number {
-    return time + this._limits.maximumLeaseMilliseconds / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
-  }
 }
--- a/src/workers/worker-reservations.ts
+++ b/src/workers/worker-reservations.ts
@@ -34,6 +34,11 @@
     return this._reserved
   }
 
+  /** Whether a task has a run on the worker, or may start under its ID only: it is called until it has no such task. */
+  get isNeeded (): boolean {
+    return this.tasks.size > 0 || this.boundTasks.size > 0
+  }
+
   /** Whether the reservations exceed the capacity, which may have shrunk. */
   get isOvercommitted (): boolean {
     return !fitsWithin(this._reserved, this.entry.capacity)
--- /dev/null
+++ b/src/workers/worker-starts.ts
@@ -0,0 +1,101 @@
+/**
+ * What may become of the starts that were sent to a worker.
+ */
+import { WORKER_CLOCK_RATE } from '../jobs/worker-clock-rate.js'
+import type { FleetTimings } from '../scheduling/fleet-timings.js'
+import type { TaskRun } from '../scheduling/task-run.js'
+import { LEASE_EXPIRY_MARGIN_MILLISECONDS } from './lease-expiry-margin.js'
+import { WorkerContact } from './worker-contact.js'
+
+/** Until when starts may be carried out, by which incarnations under the worker's ID, and until when runs go on that begin so. */
+export abstract class WorkerStarts extends WorkerContact {
+  /** Epoch milliseconds by which this term knew of the present incarnation. */
+  incarnationKnownAt = Infinity
+  /**
+   * Fencing tokens of the starts that got no response, by `TASK/RUN`. Until a call with a higher token or the stop of the run has been answered, the run may begin
+   * for as long as the lease is extended.
+   */
+  readonly unsettledRuns = new Map<string, number>()
+  /** Highest fencing token that the present incarnation is known to have seen: it carries out no order with a lower one. */
+  private _confirmedToken = 0
+  /** Epoch milliseconds by which leases have expired that unsettled starts of earlier owners may have set on the next incarnation; 0 if the journal says nothing. */
+  inheritedStartsExpireAt = 0
+  /** Whether this incarnation had been up for less than the longest delay of a call when this owner learned of it. */
+  isYoung = false
+
+  /**
+   * @param _inheritedStartsOverAt epoch milliseconds by which no start of another owner is on its way any more.
+   * @param _limits longest lease that a worker accepts, on its own clock, and longest time from a call without a response until it may be carried out.
+   */
+  constructor (private readonly _inheritedStartsOverAt: number, private readonly _limits: Pick<FleetTimings, 'maximumLeaseMilliseconds' | 'maximumCallDelayMilliseconds'>) {
+    super()
+  }
+
+  /**
+   * Returns the epoch milliseconds from which on evidence that no incarnation under the ID is there shows that a run is over; Infinity if none does. A start that is still on its way may
+   * be carried out by the next incarnation.
+   */
+  endEvidenceFrom (run: TaskRun): number {
+    if (run.isStarted || run.isConfirmed) return run.evidenceFrom
+    return run.runState === 'settling' || run.runState === 'inherited' ? this.startOverAt(run) : Infinity
+  }
+
+  /** Returns the epoch milliseconds from which on the start of a run is too old to be carried out. */
+  startOverAt ({ runState, startCallEndsAt }: TaskRun): number {
+    return runState === 'inherited' ? this._inheritedStartsOverAt : startCallEndsAt + this._limits.maximumCallDelayMilliseconds
+  }
+
+  /** Whether its lease serves no run but such of which the start is unsettled: once it has expired, none of them runs or begins. */
+  get hasOnlyUnsettledRuns (): boolean {
+    return this.unsettledRuns.size + this.tasks.size > 0 && [...this.tasks].every(({ runState }) => runState === 'settling')
+  }
+
+  /** Whether the worker may not have seen the token that is in force, so that it may carry out orders with a lower one. */
+  get isFenceUnconfirmed (): boolean {
+    return this.client !== null && this.client.fence.token > this._confirmedToken
+  }
+
+  /** Records that the worker has answered a call with a fencing token. */
+  confirmToken (token: number): void {
+    this._confirmedToken = Math.max(this._confirmedToken, token)
+    for (const [run, startToken] of this.unsettledRuns) if (startToken < token) this.unsettledRuns.delete(run)
+  }
+
+  /** Returns the epoch milliseconds by which a lease has expired that an order carried out by `time` has set on an incarnation whose clock isn't known. */
+  longestLeaseExpiresAt (time: number): number {
+    return time + this._limits.maximumLeaseMilliseconds / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
+  }
+
+  /**
+   * Epoch milliseconds by which leases have expired that starts meant for the former incarnation may set on the present one, for all of its runs; 0 if none can. An incarnation of which an earlier
+   * owner knew may have a former one only if it is young.
+   */
+  protected get lateLeaseExpiresAt (): number {
+    let expiresAt = 0
+    for (const run of this.tasks) {
+      const mayPrecede = run.runState === 'inherited' ? this.isYoung : run.startOrderedAt < this.incarnationKnownAt
+      if (run.mayBeginLate && mayPrecede && !this.refusesStartOf(run)) expiresAt = Math.max(expiresAt, this.lateStartExpiresAt(run))
+    }
+    return expiresAt
+  }
+
+  protected lateStartExpiresAt (run: TaskRun): number {
+    return run.runState === 'inherited' ? this.inheritedStartsExpireAt : this.longestLeaseExpiresAt(this.startOverAt(run))
+  }
+
+  /** Whether the present incarnation has seen a higher fencing token than that of the start of a run. */
+  protected refusesStartOf ({ runState, startToken }: TaskRun): boolean {
+    return runState === 'inherited' ? this._confirmedToken > 0 : startToken < this._confirmedToken
+  }
+
+  /** Epoch milliseconds by which the calls with the start orders of all runs have ended; a lease serves all of them. */
+  protected get startCallsEndAt (): number {
+    return Math.max(...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt))
+  }
+
+  /** Forgets what the former incarnation has seen. */
+  protected forgetTokens (): void {
+    this.unsettledRuns.clear()
+    this._confirmedToken = 0
+  }
+}
