--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -12,6 +12,7 @@
 import { ForeignEntries } from './faults/foreign-entries.js'
 import { HistoryCompaction } from './faults/history-compaction.js'
 import { KeyWithdrawal } from './faults/key-withdrawal.js'
+import { LateStartAcrossRestart } from './faults/late-start-across-restart.js'
 import { LateStarts } from './faults/late-starts.js'
 import { LostAppendResponses } from './faults/lost-append-responses.js'
 import { MaintenanceWave } from './faults/maintenance-wave.js'
@@ -83,7 +84,7 @@
     return [
       new ProcessKill(), new FleetKill(), new ProcessPause(), new PlannedRestart(), new PlannedRestart(), new SettingsReload(),
       new StoreRefusal(), new SlowStore(), new LostAppendResponses(), new HistoryCompaction(), new StoreDisconnection(), new WorkerDisconnection(),
-      new DelayedConnections(), new ResetConnections(), new BlackholedConnections(), new WorkerCrash(), new DeadlyJobs(), new LateStarts(),
+      new DelayedConnections(), new ResetConnections(), new BlackholedConnections(), new WorkerCrash(), new DeadlyJobs(), new LateStartAcrossRestart(), new LateStarts(),
       new MaintenanceWave(), new ZoneEvacuation(), new KeyWithdrawal(), new ForeignEntries(), new ShrinkingCapacity()
     ]
   }
