Let the emulator's longest lease be chosen

Change: PlatformEmulator and EmulatedFleet take the longest lease; MAXIMUM_LEASE_MILLISECONDS sets that of fleets that aren't given one.

--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -25,8 +25,8 @@
 /** First two bytes of the workers' addresses, unless the emulator is served on a real network. */
 const WORKER_NETWORK = '10.8'
 
-/** Maximum duration of a worker's lease, in milliseconds. */
-const MAXIMUM_LEASE_MILLISECONDS = 6_000
+/** Maximum duration of a worker's lease unless the emulator is given another, in milliseconds. */
+const DEFAULT_MAXIMUM_LEASE_MILLISECONDS = 6_000
 
 /** A request to one of the emulated addresses. */
 interface EmulatedRequest {
@@ -50,6 +50,8 @@
   readonly workerIncarnations: EmulatedWorker[] = []
   /** Workers that the advice service has recommended. */
   readonly advisedWorkers = new Set<string>()
+  /** Maximum duration of the leases of workers that start from now on, in milliseconds. */
+  maximumLeaseMilliseconds = DEFAULT_MAXIMUM_LEASE_MILLISECONDS
   /** Number of calls to workers. */
   workerCalls = 0
   /** Number of reads from the store, by `CALLER TOPIC`. */
@@ -136,7 +138,7 @@
 
   /** Starts a new incarnation of a worker, with the same ID and address. */
   restart (worker: EmulatedWorker, capacity = worker.capacity): EmulatedWorker {
-    const restarted = new EmulatedWorker(worker.id, worker.pool, worker.address, worker.zone, worker.virtualMachine, this._clock, this._outcome, MAXIMUM_LEASE_MILLISECONDS, capacity)
+    const restarted = new EmulatedWorker(worker.id, worker.pool, worker.address, worker.zone, worker.virtualMachine, this._clock, this._outcome, this.maximumLeaseMilliseconds, capacity)
     this._add(restarted)
     this.virtualMachines.workerStarted(restarted)
     return restarted
@@ -211,7 +213,7 @@
   private _startWorker (virtualMachine: string, pool: string, zone: string, address?: string): EmulatedWorker {
     this._workerCount += 1
     const newAddress = `${this._workerNetwork}.${this._workerCount >> 8}.${this._workerCount & 255}:8080`
-    const worker = new EmulatedWorker(`i-${this._workerCount}`, pool, address ?? newAddress, zone, virtualMachine, this._clock, this._outcome, MAXIMUM_LEASE_MILLISECONDS)
+    const worker = new EmulatedWorker(`i-${this._workerCount}`, pool, address ?? newAddress, zone, virtualMachine, this._clock, this._outcome, this.maximumLeaseMilliseconds)
     this._add(worker)
     return worker
   }
--- a/tests/support/emulated-fleet.ts
+++ b/tests/support/emulated-fleet.ts
@@ -22,6 +22,9 @@
 /** API key of the team that tests use. */
 const KEY = 'key-of-team'
 
+/** Longest lease of fleets that aren't given another, in milliseconds: that of one kind of deployment. The environment variable plays tests and series with that of another. */
+const DEFAULT_MAXIMUM_LEASE_MILLISECONDS = Number(process.env['MAXIMUM_LEASE_MILLISECONDS'] ?? 6_000)
+
 /** A process under test. */
 interface EmulatedNode {
   readonly tree: NodeTree
@@ -53,8 +56,10 @@
   /** Names of the submitted steps that allow copies, without their occurrence, with the first run of a task that may get one. */
   private readonly _speculativeSteps = new Map<string, number>()
 
-  constructor (private readonly _seed: number) {
+  /** @param _maximumLeaseMilliseconds longest lease that workers grant, as the processes' settings have it. */
+  constructor (private readonly _seed: number, private readonly _maximumLeaseMilliseconds = DEFAULT_MAXIMUM_LEASE_MILLISECONDS) {
     this.emulator = new PlatformEmulator(this.clock, (task, run, worker) => this.outcomesByRun.get(`${task}/${run}`) ?? this.outcomesByTask.get(task) ?? this.outcomesByWorker.get(worker) ?? { milliseconds: 1_000, result: 'done' })
+    this.emulator.maximumLeaseMilliseconds = _maximumLeaseMilliseconds
   }
 
   /** Creates a configured fleet with workers and processes, and advances time until they have started. Without a standby pool all workers stay. */
@@ -104,7 +109,7 @@
       machine: virtualMachine,
       limits: { copiesSlowTasks: this.copiesSlowTasks, ...this.maximumBacklogTasks === null ? {} : { maximumBacklogTasks: this.maximumBacklogTasks } },
       bounds: {
-        maximumLeaseMilliseconds: 6_000, maximumCallDelayMilliseconds: 12_000, statusRetentionMilliseconds: 120_000, holderChangeMilliseconds: 3_000, moveMilliseconds: 1_500, maintenanceMilliseconds: 2_000
+        maximumLeaseMilliseconds: this._maximumLeaseMilliseconds, maximumCallDelayMilliseconds: 12_000, statusRetentionMilliseconds: 120_000, holderChangeMilliseconds: 3_000, moveMilliseconds: 1_500, maintenanceMilliseconds: 2_000
       }
     })
     const log = new RecordingDecisionLog()
