Log what decides by when a worker's lease has expired

Change: lines about a lost worker have the expiry, what decides it, and whether the incarnation is young; an owner logs when it stops and resumes extending leases, and by which record.

--- a/src/leases/lease-renewal-permit.ts
+++ b/src/leases/lease-renewal-permit.ts
@@ -6,6 +6,7 @@
 import { RENEWAL_GRACE_PERIOD } from '../jobs/renewal-grace-period.js'
 import { resumptionQuorum } from '../jobs/resumption-quorum.js'
 import type { WorkerClock } from '../jobs/worker-clock.js'
+import type { DecisionLog } from '../observability/decision-log.js'
 import type { EarlierOwners } from '../ownership/earlier-owners.js'
 import type { TermHolder } from '../ownership/term-holder.js'
 import type { Clock } from '../supervision/clock.js'
@@ -40,12 +41,13 @@
   /** The newest record, which the store may have executed without a response. */
   private _created: WrittenRenewals | null = null
   private _confirmed: WrittenRenewals | null = null
+  private _wasGranted = true
   /** Least difference between the time of day and the steady clock since the last suspension. */
   private _clockDifference: number
 
   constructor (
     private readonly _term: number, private readonly _holder: TermHolder, private readonly _earlierOwners: Pick<EarlierOwners, 'renewals' | 'renewLeasesUntil'>, private readonly _workers: () => Pick<WorkerTable, 'find' | 'readClocks' | 'forgetClocks'>,
-    private readonly _fleetTime: FleetTime, private readonly _clock: Clock
+    private readonly _fleetTime: FleetTime, private readonly _clock: Clock, private readonly _log: DecisionLog
   ) {
     this._clockDifference = _clock.timeOfDay() - _clock.now()
   }
@@ -57,7 +59,9 @@
 
   /** Whether leases may be extended now. */
   get isGranted (): boolean {
-    return this._isWithin(RENEWAL_GRACE_PERIOD.untilMilliseconds) || (this._isWithin(RENEWAL_GRACE_PERIOD.resumesUntilMilliseconds) && this._mayResume())
+    const isGranted = this._isWithin(RENEWAL_GRACE_PERIOD.untilMilliseconds) || (this._isWithin(RENEWAL_GRACE_PERIOD.resumesUntilMilliseconds) && this._mayResume())
+    if (isGranted !== this._wasGranted && this.isInForce) this._logChange(isGranted)
+    return isGranted
   }
 
   /**
@@ -132,6 +136,12 @@
     while (!this.isInForce && this._clock.now() < deadline && !signal.aborted) await this._inForce.wait(this._clock, deadline, signal)
   }
 
+  /** Logs that this owner stops or resumes extending leases, by which record. */
+  private _logChange (isGranted: boolean): void {
+    this._wasGranted = isGranted
+    this._log.emit(isGranted ? 'lease renewals resumed' : 'lease renewals paused', { term: this._term, writtenAt: Math.round(this._confirmed?.at ?? 0), newestAt: Math.round(this._created?.at ?? 0) })
+  }
+
   private _isWithin (milliseconds: number): boolean {
     return this._confirmed !== null && this._clock.now() < this._confirmed.at + milliseconds && this._clock.timeOfDay() < this._confirmed.timeOfDay + milliseconds
   }
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -116,7 +116,7 @@
     const pace = new OwnerPace(load)
     const leaseRenewals = this._createSupervisor('holds')
     const orders = this._createSupervisor('orders')
-    const permit = new LeaseRenewalPermit(term, holder, earlierOwners, (): WorkerTable => workerTable, fleetTime, clock)
+    const permit = new LeaseRenewalPermit(term, holder, earlierOwners, (): WorkerTable => workerTable, fleetTime, clock, log)
     const unsettledStarts = new UnsettledStarts(jobTable.settledStarts)
     const writer = new DecisionWriterTask(decisionJournal, decisions, term, claim.sentAt, holder, permit, unsettledStarts, fleetTime, onLost, clock, random, metrics)
     const dispatcher: SupervisedRunOrderDispatcher = new SupervisedRunOrderDispatcher(
--- a/src/workers/fleet-worker.ts
+++ b/src/workers/fleet-worker.ts
@@ -159,9 +159,24 @@
 
   /** Epoch milliseconds by which all runs on the worker have ended unless the lease is renewed. */
   get leaseExpiresAt (): number {
-    if (this.lastReportAt === 0) return Math.max(this._unknownLeasesExpireAt, this.lateLeaseExpiresAt)
-    const ownLeaseExpiresAt = this.lastReportAt + Math.max(0, this._leaseDeadline - this._workerClockAtReport) / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS
-    return Math.max(ownLeaseExpiresAt, this._unknownLeasesExpireAt, this.unsettledRuns.size > 0 ? this.lateLeaseExpiresAt : 0)
+    return Math.max(...Object.values(this._leaseExpiries))
+  }
+
+  /** What decides `leaseExpiresAt`: the lease that this owner requested, one that others may have, or one that a late start may have set. */
+  get leaseBasis (): 'requested' | 'unknown' | 'late start' {
+    const { requested, unknown, lateStart } = this._leaseExpiries
+    if (requested >= Math.max(unknown, lateStart)) return 'requested'
+    return unknown >= lateStart ? 'unknown' : 'late start'
+  }
+
+  /** Epoch milliseconds by which the leases have expired that the worker may have, by who set them. */
+  private get _leaseExpiries (): { readonly requested: number, readonly unknown: number, readonly lateStart: number } {
+    const isHeard = this.lastReportAt > 0
+    return {
+      requested: isHeard ? this.lastReportAt + Math.max(0, this._leaseDeadline - this._workerClockAtReport) / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS : 0,
+      unknown: this._unknownLeasesExpireAt,
+      lateStart: !isHeard || this.unsettledRuns.size > 0 ? this.lateLeaseExpiresAt : 0
+    }
   }
 
   /**
--- a/src/workers/worker-loss-handler.ts
+++ b/src/workers/worker-loss-handler.ts
@@ -113,7 +113,7 @@
 
   /** Logs what tells a crash from other losses, and for how long each run had been active when the worker was last heard. */
   private _logLoss (event: string, worker: FleetWorker, cause: string, crashes: readonly AttributedCrash[]): void {
-    const { entry: { id, incarnation }, isLeaving, lastReportAt, unreachableSince, refusesConnections, tasks } = worker
+    const { entry: { id, incarnation }, isLeaving, isYoung, lastReportAt, unreachableSince, refusesConnections, leaseExpiresAt, leaseBasis, tasks } = worker
     this._log.emit(event, {
       worker: id,
       incarnation,
@@ -122,6 +122,9 @@
       refusesConnections,
       heardAt: Math.round(lastReportAt),
       unreachableSince: Math.round(unreachableSince),
+      leaseExpiresAt: Math.round(leaseExpiresAt),
+      leaseBasis,
+      isYoung,
       registryAt: Math.round(this._registryFreshAt()),
       suspects: crashes.filter(({ role }) => role !== 'bystander').length,
       runs: [...tasks].map(({ name, run, runState, evidenceFrom, startOrderedAt }) => `${name}/${run} ${runState}${evidenceFrom === 0 ? '' : ' on an unknown incarnation'} ${startOrderedAt === 0 ? 'inherited' : Math.round(lastReportAt - startOrderedAt)}`)
--- a/tests/decision-writer-task.test.ts
+++ b/tests/decision-writer-task.test.ts
@@ -61,7 +61,7 @@
   const jobTable = new JobTable(clock)
   const fleetTime = new FleetTime(clock, 'holder')
   const holder = { name: 'holder', process: 'one' }
-  const permit = new LeaseRenewalPermit(5, holder, new EarlierOwners(jobTable, jobTable.term, clock.now(), clock.now()), () => ({ find: () => null, readClocks: () => [], forgetClocks: () => {} }), fleetTime, clock)
+  const permit = new LeaseRenewalPermit(5, holder, new EarlierOwners(jobTable, jobTable.term, clock.now(), clock.now()), () => ({ find: () => null, readClocks: () => [], forgetClocks: () => {} }), fleetTime, clock, new RecordingDecisionLog())
   const writer = new DecisionWriterTask(journal, { jobTable, recordOwnAppend: () => {} }, 5, clock.now(), holder, permit, { takeChange: () => null }, fleetTime, cause => lossCauses.push(cause), clock, new SeededRandomSource(1), metrics)
   const root = new Supervisor('root', clock, new DecisionLogSupervisorObserver(new RecordingDecisionLog(), metrics))
   root.add(writer)
