--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -71,8 +71,12 @@
   readonly lostStopAddresses = new Set<string>()
   /** Delay of a late start, in milliseconds. */
   lateStartMilliseconds = 3_000
-  /** Whether a late start is executed by the worker that has the same ID and address by then, even if it is another incarnation. */
+  /** Whether a late start or renewal is executed by the worker that has the same ID and address by then, even if it is another incarnation. */
   lateStartsReachSuccessors = false
+  /** Addresses of workers at which every lease renewal gets no response and is executed late. */
+  readonly lateRenewalAddresses = new Set<string>()
+  /** Delay of a late renewal, in milliseconds. */
+  lateRenewalMilliseconds = 3_000
 
   /** Time that each call of a caller to other services than the store takes of its processor, in milliseconds; it makes one after the other. */
   readonly callMilliseconds = new Map<string, number>()
@@ -88,6 +92,19 @@
   /** Whether such a worker is back under its ID; otherwise another worker is at its address. */
   keepsIdAfterCrash = false
 
+  /**
+   * Executes a call to a worker late if faults delay it; it gets no response then. Returns whether they do.
+   *
+   * @param current returns the current incarnation at the address.
+   */
+  isExecutedLate (call: string, order: Record<string, never>, intended: EmulatedWorker, current: () => EmulatedWorker | undefined, clock: Clock): boolean {
+    const isLate = call === 'hold' ? this.lateRenewalAddresses.has(intended.address) : call === 'run-start' && this.consumeLateStart(intended.address)
+    if (!isLate) return false
+    const milliseconds = call === 'hold' ? this.lateRenewalMilliseconds : this.lateStartMilliseconds
+    clock.sleepUntil(clock.now() + milliseconds).then(async () => this._lateExecutor(intended, current())?.handle(call, order)).catch(() => {})
+    return true
+  }
+
   /** Returns whether the next start at an address is late, and counts it. */
   consumeLateStart (address: string): boolean {
     if (this.lateStartAddresses.has(address)) return true
@@ -96,8 +113,8 @@
     return true
   }
 
-  /** Returns the worker that executes a late start, if any: the intended incarnation, or the current one at its address. */
-  lateExecutor (intended: EmulatedWorker, current: EmulatedWorker | undefined): EmulatedWorker | null {
+  /** Returns the worker that executes a late call, if any: the intended incarnation, or the current one at its address. */
+  private _lateExecutor (intended: EmulatedWorker, current: EmulatedWorker | undefined): EmulatedWorker | null {
     const executor = this.lateStartsReachSuccessors ? current : intended
     return executor?.id === intended.id && !executor.isTerminated ? executor : null
   }
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -192,10 +192,7 @@
     await this._clock.sleepUntil(this._clock.now() + (this.faults.workerLatencies.get(address) ?? WORKER_LATENCY_MILLISECONDS))
     if (headers['expect-instance'] !== worker.id) return this._encode({ status: 421, body: {} })
     const order = JSON.parse(body.toString()) as Record<string, never>
-    if (call === 'run-start' && this.faults.consumeLateStart(address)) {
-      this._clock.sleepUntil(this._clock.now() + this.faults.lateStartMilliseconds).then(async () => this.faults.lateExecutor(worker, this._workersByAddress.get(address))?.handle(call, order)).catch(() => {})
-      return null
-    }
+    if (this.faults.isExecutedLate(call, order, worker, () => this._workersByAddress.get(address), this._clock)) return null
     if (call === 'run-start' && this.faults.startLatencyMilliseconds > 0) await this._clock.sleepUntil(this._clock.now() + this.faults.startLatencyMilliseconds)
     if (call === 'hold' && this.faults.renewalLatencyMilliseconds > 0) await this._clock.sleepUntil(this._clock.now() + this.faults.renewalLatencyMilliseconds)
     if (isAborted?.() || worker.isTerminated) return null
