Tell the next owner of the longest leases that workers may hold

Cause: an order for the former incarnation of a worker has a deadline on another clock; the next incarnation grants its longest lease for it, to all of its runs. The owner that learns of the restart counts that; the next owner counted the lease that owners ask for (1.8 s + 5.4 s after the last renewal of the term). Change: an owner writes until when an incarnation may hold its longest lease (record longest/WORKER), at the latest with the placement of a run there; the next owner counts it, for that incarnation only, and removes it once it has expired. An incarnation so young that a start for a former one may have reached it counts as holding its longest lease from the first answer on.

--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -8,6 +8,7 @@
 import { JobView } from './job-view.js'
 import type { JournalRecord } from './journal-record.js'
 import { LeaseBoundTable } from './lease-bound-table.js'
+import { LongestLeaseTable } from './longest-lease-table.js'
 import type { LeaseRenewals } from './lease-renewals.js'
 import { PendingJobs } from './pending-jobs.js'
 import type { SettledStarts } from './settled-starts.js'
@@ -38,6 +39,8 @@
   readonly waitingWork: WaitingWork
   /** The bounds on the leases of workers. */
   readonly leaseBounds: LeaseBoundTable
+  /** The leases of workers that are longer than owners asked for. */
+  readonly longestLeases: LongestLeaseTable
   private readonly _jobs = new Map<string, JobView>()
   private readonly _outcomes = new Map<string, JobState>()
   private readonly _pending: PendingJobs
@@ -56,6 +59,7 @@
     this._pending = new PendingJobs(_clock)
     this.waitingWork = new WaitingWork(_clock)
     this.leaseBounds = new LeaseBoundTable(_clock)
+    this.longestLeases = new LongestLeaseTable(_clock)
   }
 
   /** Newest term claimed. */
@@ -171,6 +175,12 @@
       case 'lease-bound-withdrawal':
         this.leaseBounds.withdraw(record.worker)
         return true
+      case 'longest-lease':
+        this.longestLeases.apply(record)
+        return true
+      case 'longest-lease-end':
+        this.longestLeases.remove(record.worker)
+        return true
       case 'settled-starts':
         this._settledStarts = record.starts
         return true
--- a/src/jobs/journal-follower-task.ts
+++ b/src/jobs/journal-follower-task.ts
@@ -62,6 +62,7 @@
     if (!this.isLoaded) this._fleetTime.resume(changes.flatMap(change => this._fleetTimeDifference(change)))
     // The newest record of a withdrawn bound is its deletion, which isn't among the records loaded.
     if (this.name === 'decisions') this.jobTable.leaseBounds.retain(new Set(changes.flatMap(({ value }) => value.kind === 'lease-bound' ? [value.worker] : [])))
+    if (this.name === 'decisions') this.jobTable.longestLeases.retain(new Set(changes.flatMap(({ value }) => value.kind === 'longest-lease' ? [value.worker] : [])))
     this._isReloading = true
     for (const change of ordered) this.applyOrSkip(change)
     this._isReloading = false
--- a/src/jobs/journal-record.ts
+++ b/src/jobs/journal-record.ts
@@ -63,6 +63,13 @@
     refusesConnections: z.boolean().optional(),
     hasSuccessor: z.boolean().optional()
   }),
+  /**
+   * Leases of this incarnation may last until `expiresAt`, although no owner has asked for that: an order for the former incarnation may have reached it. Both times are in fleet time; `at` is that of
+   * the decision. Written before a run that such a lease may keep is placed there.
+   */
+  z.object({ kind: z.literal('longest-lease'), worker: z.string(), incarnation: z.number(), at: z.number(), expiresAt: z.number() }),
+  /** Such a lease has expired. */
+  z.object({ kind: z.literal('longest-lease-end'), worker: z.string() }),
   /** Which starts are no longer on their way, whichever owner sent them. */
   z.object({ kind: z.literal('settled-starts'), starts: SettledStarts }),
   /** Withdraws the bound: the owner is about to extend leases of the worker, or nothing runs there any more. */
--- a/src/leases/lease-bounds.ts
+++ b/src/leases/lease-bounds.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from '../observability/decision-log.js'
 import type { DecisionWriterTask } from '../scheduling/decision-writer-task.js'
 import type { FleetWorker } from '../workers/fleet-worker.js'
+import { recordLongestLease } from './record-longest-lease.js'
 
 /**
  * Age of the store's last confirmation of the term up to which a bound is written, in milliseconds. While the store is away it couldn't be withdrawn, and a worker that is
@@ -37,7 +38,9 @@
 
   /** Writes the bounds for workers whose response is overdue, since by the time that their calls fail this owner may have ended, and those that have become lower. Returns whether more responses are overdue than in the last round. */
   refresh (workers: Iterable<FleetWorker>, now: number): boolean {
-    const overdue = [...workers].filter(worker => worker.hasLeaseBound || worker.isResponseOverdue(now))
+    const known = [...workers]
+    if (this._areAdopted) this._refreshLongest(known, now)
+    const overdue = known.filter(worker => worker.hasLeaseBound || worker.isResponseOverdue(now))
     // A response may have arrived that this process, held up until now, reads before the next round.
     for (const worker of overdue) if (worker.hasLeaseBound || this._overdue.has(worker)) this.record(worker)
     const isAnyNew = overdue.some(worker => !this._overdue.has(worker))
@@ -75,6 +78,15 @@
     this._writer.announceLeaseRenewals()
   }
 
+  /** Writes the longest leases of workers that have restarted with runs, and removes those that have expired. */
+  private _refreshLongest (workers: readonly FleetWorker[], now: number): void {
+    for (const worker of workers) if (worker.tasks.size > 0) recordLongestLease(worker, now, this._writer, this._fleetTime, this._log)
+    for (const worker of this._jobTable.longestLeases.expiredBy(now)) {
+      this._jobTable.longestLeases.remove(worker)
+      this._writer.append({ kind: 'longest-lease-end', worker })
+    }
+  }
+
   /** Whether the bound in the journal is later than it need be, or doesn't say yet that the worker refuses connections or has a successor. One that is being withdrawn isn't written again. */
   private _isOutdated ({ isBoundWithdrawn, boundExpiresAt, leaseExpiresAt, isRefusalRecorded, refusesConnections, isSuccessorRecorded, hasSuccessor }: FleetWorker): boolean {
     const isLower = leaseExpiresAt <= boundExpiresAt - MINIMUM_REDUCTION_MILLISECONDS
--- a/src/ownership/earlier-owners.ts
+++ b/src/ownership/earlier-owners.ts
@@ -88,6 +88,12 @@
     return this._jobTable.leaseBounds.of(worker)?.startsExpireAtLatest ?? 0
   }
 
+  /** Returns the epoch milliseconds by which a lease has expired that was longer than any owner asked for, as far as earlier owners knew of one on an incarnation of a worker; null if they didn't. */
+  longestLeaseExpiry (worker: string, incarnation: number): number | null {
+    const lease = this._jobTable.longestLeases.of(worker)
+    return lease?.incarnation === incarnation ? lease.expiresAtLatest : null
+  }
+
   /** Returns what the journal says of a worker that earlier owners couldn't reach, and whose entry the registry may no longer have. */
   unreachableWorker (worker: string, incarnation: number): { readonly address: string, readonly refusesConnections: boolean } {
     const bound = this._jobTable.leaseBounds.of(worker)
--- a/src/platform/journal-codec.ts
+++ b/src/platform/journal-codec.ts
@@ -26,12 +26,13 @@
 
 const OutcomeValue = z.object({ queue: z.string(), state: z.enum(['completed', 'failed', 'cancelled']) })
 const LeaseBoundValue = z.object({ incarnation: z.number(), term: z.number(), at: z.number(), expiresAt: z.number(), startsExpireAt: z.number().optional(), address: z.string().optional(), refusesConnections: z.boolean().optional(), hasSuccessor: z.boolean().optional() })
+const LongestLeaseValue = z.object({ incarnation: z.number(), at: z.number(), expiresAt: z.number() })
 
 const TOMBSTONE = Buffer.alloc(0)
 
 /**
  * Keys of submissions are `job/ID`, `cancel/ID` and `ended/PROCESS`; keys of decisions are `verdict/ID`, `step/ID/OCCURRENCE/STEP`, `over/ID`, `term`,
- * `wave/NUMBER`, `order/VM`, `lease/WORKER` and `starts`.
+ * `wave/NUMBER`, `order/VM`, `lease/WORKER`, `longest/WORKER` and `starts`.
  */
 export class JournalCodec {
   /** An outcome also deletes the keys of the job's other decisions. */
@@ -48,6 +49,8 @@
       case 'order': return [this._jsonRecord(`order/${record.virtualMachine}`, this._orderValue(record))]
       case 'lease-bound': return [this._jsonRecord(`lease/${record.worker}`, this._leaseBoundValue(record))]
       case 'lease-bound-withdrawal': return [{ key: `lease/${record.worker}`, value: TOMBSTONE }]
+      case 'longest-lease': return [this._jsonRecord(`longest/${record.worker}`, this._longestLeaseValue(record))]
+      case 'longest-lease-end': return [{ key: `longest/${record.worker}`, value: TOMBSTONE }]
       case 'settled-starts': return [this._jsonRecord('starts', record.starts)]
       case 'outcome': return this._encodeOutcome(record)
       case 'retirement': return [{ key: `over/${record.job}`, value: TOMBSTONE }]
@@ -69,6 +72,7 @@
       case 'wave': return parseJson(WaveProgress, value).toMaybe().filter(progress => String(progress.wave) === id).map(progress => ({ kind: 'wave', progress }))
       case 'order': return parseJson(VirtualMachineOrder, value).toMaybe().map(order => ({ kind: 'order', virtualMachine: id, ...order }))
       case 'lease': return parseJson(LeaseBoundValue, value).toMaybe().map(bound => ({ kind: 'lease-bound', worker: id, ...bound }))
+      case 'longest': return parseJson(LongestLeaseValue, value).toMaybe().map(lease => ({ kind: 'longest-lease', worker: id, ...lease }))
       case 'starts': return parseJson(SettledStarts, value).toMaybe().map(starts => ({ kind: 'settled-starts', starts }))
       default: return Nothing
     }
@@ -78,6 +82,7 @@
   private static _decodeDeletion (kind: string, id: string): Maybe<JournalRecord> {
     if (kind === 'over') return Just({ kind: 'retirement', job: id })
     if (kind === 'cancel') return Just({ kind: 'disposal', job: id })
+    if (kind === 'longest') return Just({ kind: 'longest-lease-end', worker: id })
     return kind === 'lease' ? Just({ kind: 'lease-bound-withdrawal', worker: id }) : Nothing
   }
 
@@ -93,6 +98,10 @@
     return value
   }
 
+  private static _longestLeaseValue ({ kind, worker, ...value }: Extract<JournalRecord, { kind: 'longest-lease' }>): z.infer<typeof LongestLeaseValue> {
+    return value
+  }
+
   /** An outcome has its own key, because a delayed copy of the submission may still be appended after it. */
   private static _encodeOutcome ({ job, queue, state, occurrences, steps }: Extract<JournalRecord, { kind: 'outcome' }>): KeyedRecord[] {
     const keys = [`verdict/${job}`]
--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -7,6 +7,7 @@
 import type { Observability } from '../observability/observability.js'
 import type { TaskCopies } from '../speculation/task-copies.js'
 import type { AttemptBudget } from './attempt-budget.js'
+import { recordLongestLease } from '../leases/record-longest-lease.js'
 import { bindToWorker } from './bind-to-worker.js'
 import { ScheduleChanges } from './schedule-changes.js'
 import type { DecisionWriterTask } from './decision-writer-task.js'
@@ -30,11 +31,8 @@
 /** Every change to a task's phase or worker assignment goes through this class, so that reservations on workers and in team usage always match the schedule. */
 export class FleetSchedule extends ScheduleChanges {
   constructor (
-    private readonly _attempts: AttemptBudget, private readonly _copies: TaskCopies,
-    private readonly _writer: DecisionWriterTask,
-    private readonly _dispatcher: RunOrderDispatcher,
-    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _unsettledStarts: UnsettledStarts, private readonly _inheritedPlacements: InheritedPlacements, private readonly _fleetTime: FleetTime,
-    private readonly _observability: Observability
+    private readonly _attempts: AttemptBudget, private readonly _copies: TaskCopies, private readonly _writer: DecisionWriterTask, private readonly _dispatcher: RunOrderDispatcher,
+    private readonly _jobs: ScheduledJobTable, private readonly _workers: WorkerTable, private readonly _reservations: ResourceReservations, private readonly _unsettledStarts: UnsettledStarts, private readonly _inheritedPlacements: InheritedPlacements, private readonly _fleetTime: FleetTime, private readonly _observability: Observability
   ) {
     super()
   }
@@ -149,6 +147,7 @@
     task.beginRun(worker, run, this._unsettledStarts.takeNumber(), now)
     this._unsettledStarts.add(task)
     this._reservations.reserve(task, worker)
+    recordLongestLease(worker, now, this._writer, this._fleetTime, this._observability.log)
     this._writer.writeStep(task.step, () => this._startRun(task, worker, run, now))
   }
 
--- a/src/takeover/inherited-placements.ts
+++ b/src/takeover/inherited-placements.ts
@@ -38,7 +38,10 @@
     const worker = this._workers.findOrAddPlaceholder(task.workerId, task.incarnation, task.reservation)
     const isRestarted = worker.entry.incarnation > task.incarnation
     // A worker registers some time after its start, when its reports may already be in the journal.
-    if (worker.entry.incarnation < task.incarnation) worker.startIncarnation(task.incarnation, this._clock.now(), this._workers.unknownLeasesExpireAt)
+    if (worker.entry.incarnation < task.incarnation) {
+      worker.startIncarnation(task.incarnation, this._clock.now(), this._workers.unknownLeasesExpireAt)
+      this._workers.inheritFormerOrders(worker)
+    }
     if (isRestarted) task.placedAtClock = 0
     const crashes = isRestarted ? this._attribution.attributeInherited(task, worker, task.incarnation) : []
     task.incarnation = worker.entry.incarnation
--- a/src/workers/fleet-worker.ts
+++ b/src/workers/fleet-worker.ts
@@ -99,7 +99,6 @@
    * @param requestedAt epoch milliseconds at which it was requested; the worker's clock was read after that.
    */
   recordReport (workerClock: number, now: number, requestedAt: number): void {
-    if (this.lastReportAt === 0 && this.lateLeaseExpiresAt > 0) this._unknownLeasesExpireAt = Math.max(this._unknownLeasesExpireAt, this.longestLeaseExpiresAt(now))
     this._workerClockAtReport = workerClock
     this._reportRequestedAt = requestedAt
     this.clockEstimate.record(workerClock, requestedAt, now)
@@ -120,13 +119,12 @@
    * @param unknownLeasesExpireAt epoch milliseconds by which any lease that orders to the previous incarnation may have extended has expired, unless they reached this one.
    */
   startIncarnation (incarnation: number, now: number, unknownLeasesExpireAt: number): void {
-    // Orders that reach this incarnation have deadlines on the clock of the previous one, by which it may set its longest lease.
-    this._unknownLeasesExpireAt = Math.max(unknownLeasesExpireAt, this.longestLeaseExpiresAt(Math.max(now, this.startCallsEndAt)))
+    this._unknownLeasesExpireAt = unknownLeasesExpireAt
     this.entry = { ...this.entry, incarnation }
     this.incarnationKnownAt = now
     this.isEntryCurrent = false
     this.hasOrphanedRuns = false
-    this.forgetTokens()
+    this.forgetTokens(now)
     this._hasInheritedLeases = false
     this._leaseDeadline = 0
     this._workerClockAtReport = 0
@@ -162,19 +160,21 @@
     return Math.max(...Object.values(this._leaseExpiries))
   }
 
-  /** What decides `leaseExpiresAt`: the lease that this owner requested, one that others may have, or one that a late start may have set. */
-  get leaseBasis (): 'requested' | 'unknown' | 'late start' {
-    const { requested, unknown, lateStart } = this._leaseExpiries
-    if (requested >= Math.max(unknown, lateStart)) return 'requested'
-    return unknown >= lateStart ? 'unknown' : 'late start'
+  /** What decides `leaseExpiresAt`: the lease that this owner requested, one that others may have, or one that an order for the former incarnation or a late start may have set. */
+  get leaseBasis (): 'requested' | 'unknown' | 'former order' | 'late start' {
+    const { requested, unknown, formerOrder, lateStart } = this._leaseExpiries
+    if (requested >= Math.max(unknown, formerOrder, lateStart)) return 'requested'
+    if (unknown >= Math.max(formerOrder, lateStart)) return 'unknown'
+    return formerOrder >= lateStart ? 'former order' : 'late start'
   }
 
   /** Epoch milliseconds by which the leases have expired that the worker may have, by who set them. */
-  private get _leaseExpiries (): { readonly requested: number, readonly unknown: number, readonly lateStart: number } {
+  private get _leaseExpiries (): { readonly requested: number, readonly unknown: number, readonly formerOrder: number, readonly lateStart: number } {
     const isHeard = this.lastReportAt > 0
     return {
       requested: isHeard ? this.lastReportAt + Math.max(0, this._leaseDeadline - this._workerClockAtReport) / WORKER_CLOCK_RATE.slowest + LEASE_EXPIRY_MARGIN_MILLISECONDS : 0,
       unknown: this._unknownLeasesExpireAt,
+      formerOrder: this.formerOrders.leaseExpiresAt,
       lateStart: !isHeard || this.unsettledRuns.size > 0 ? this.lateLeaseExpiresAt : 0
     }
   }
--- a/src/workers/worker-starts.ts
+++ b/src/workers/worker-starts.ts
@@ -4,6 +4,7 @@
 import { WORKER_CLOCK_RATE } from '../jobs/worker-clock-rate.js'
 import type { FleetTimings } from '../scheduling/fleet-timings.js'
 import type { TaskRun } from '../scheduling/task-run.js'
+import { FormerOrders } from './former-orders.js'
 import { LEASE_EXPIRY_MARGIN_MILLISECONDS } from './lease-expiry-margin.js'
 import { WorkerContact } from './worker-contact.js'
 
@@ -22,6 +23,8 @@
   inheritedStartsExpireAt = 0
   /** Whether this incarnation had been up for less than the longest delay of a call when this owner learned of it. */
   isYoung = false
+  /** Orders for the former incarnation. */
+  readonly formerOrders: FormerOrders
 
   /**
    * @param _inheritedStartsOverAt epoch milliseconds by which no start of another owner is on its way any more.
@@ -29,6 +32,7 @@
    */
   constructor (private readonly _inheritedStartsOverAt: number, private readonly _limits: Pick<FleetTimings, 'maximumLeaseMilliseconds' | 'maximumCallDelayMilliseconds'>) {
     super()
+    this.formerOrders = new FormerOrders(_limits)
   }
 
   /**
@@ -55,9 +59,10 @@
     return this.client !== null && this.client.fence.token > this._confirmedToken
   }
 
-  /** Records that the worker has answered a call with a fencing token. */
+  /** Records that the worker has answered a call with a fencing token, by its last report. */
   confirmToken (token: number): void {
     this._confirmedToken = Math.max(this._confirmedToken, token)
+    this.formerOrders.answered(token, this.lastReportAt)
     for (const [run, startToken] of this.unsettledRuns) if (startToken < token) this.unsettledRuns.delete(run)
   }
 
@@ -94,8 +99,9 @@
   }
 
   /** Forgets what the former incarnation has seen. */
-  protected forgetTokens (): void {
+  protected forgetTokens (now: number): void {
     this.unsettledRuns.clear()
     this._confirmedToken = 0
+    this.formerOrders.incarnationStarted(Math.max(now, this.startCallsEndAt), Infinity)
   }
 }
--- a/src/workers/worker-table.ts
+++ b/src/workers/worker-table.ts
@@ -193,6 +193,14 @@
     return worker
   }
 
+  /** Applies to a worker, in an incarnation of which an earlier owner may have known, what the journal says of its longest lease, and whether there may be one of which it says nothing. */
+  inheritFormerOrders (worker: FleetWorker): void {
+    const { isYoung, formerOrders, entry: { id, incarnation } } = worker
+    const expiresAt = this._earlierOwners.longestLeaseExpiry(id, incarnation)
+    formerOrders.inherit(expiresAt ?? 0)
+    if (expiresAt === null && isYoung && this._clock.now() < worker.longestLeaseExpiresAt(this._inheritedLeases.startsOverAt)) formerOrders.suspect()
+  }
+
   /** Creates a worker with the leases that earlier owners may have requested. */
   private _create (entry: WorkerEntry): FleetWorker {
     const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation), this._inheritedLeases.startsOverAt, this._inheritedLeases.limits)
@@ -201,6 +209,7 @@
     worker.boundExpiresAt = Infinity
     worker.isYoung = this._clock.timeOfDay() < entry.incarnation + this._inheritedLeases.limits.maximumCallDelayMilliseconds + MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS
     worker.incarnationKnownAt = this._clock.now()
+    this.inheritFormerOrders(worker)
     worker.isCordoned = this._cordonedIds.has(entry.id)
     return worker
   }
