Shut orders for the former incarnation out of a restarted worker

Cause: a renewal for the former incarnation is carried out by the next one, which has seen no fencing token. It grants its longest lease from that moment, which the owner counted from when it learned of the restart, and forgets its completions up to the number that the renewal acknowledges. Change: on a restart the owner raises the worker's fencing token; nothing is placed there before a call with it is answered, and the longest lease counts from that answer, before that from the end of the longest delay of a call. Runs that may be on an incarnation of which the owner doesn't know yet count the delay as well. Why it works: a worker refuses every order with a lower token than one that it has seen.

--- a/src/workers/fleet-worker.ts
+++ b/src/workers/fleet-worker.ts
@@ -185,7 +185,7 @@
    */
   expiryOf (run: TaskRun): number {
     if (run.mayBeginLate) return this.refusesStartOf(run) ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this.lateStartExpiresAt(run))
-    return run.evidenceFrom === 0 ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this.longestLeaseExpiresAt(this.startCallsEndAt))
+    return run.evidenceFrom === 0 ? this.leaseExpiresAt : Math.max(this.leaseExpiresAt, this.longestLeaseExpiresAt(this.ordersOverAt))
   }
 
   /** Epoch milliseconds by which that holds for all runs, also for those whose start is unsettled. */
--- a/src/workers/former-orders.ts
+++ b/src/workers/former-orders.ts
@@ -29,6 +29,11 @@
     return Math.max(ownExpiry, this._inheritedExpiry)
   }
 
+  /** Returns whether such an order may still be carried out: nothing should start on the worker. */
+  arePossible (now: number): boolean {
+    return now < this._possibleUntil
+  }
+
   /** Returns whether the journal lacks until when such a lease lasts, as owners after this one have to know. */
   isUnrecorded (now: number): boolean {
     return this.leaseExpiresAt > now && this.leaseExpiresAt !== this._recordedExpiry
--- a/src/workers/worker-starts.ts
+++ b/src/workers/worker-starts.ts
@@ -93,15 +93,25 @@
     return runState === 'inherited' ? this._confirmedToken > 0 : startToken < this._confirmedToken
   }
 
-  /** Epoch milliseconds by which the calls with the start orders of all runs have ended; a lease serves all of them. */
-  protected get startCallsEndAt (): number {
-    return Math.max(...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt))
+  /** Epoch milliseconds by which no incarnation carries out an order of before the starts of all runs any more, be it a start or a renewal; a lease serves all of them. */
+  protected get ordersOverAt (): number {
+    return Math.max(...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt)) + this._limits.maximumCallDelayMilliseconds
   }
 
-  /** Forgets what the former incarnation has seen. */
+  /** Forgets what the former incarnation has seen, and raises the fencing token, so that the present one refuses the orders for it from the first answer on. */
   protected forgetTokens (now: number): void {
     this.unsettledRuns.clear()
     this._confirmedToken = 0
-    this.formerOrders.incarnationStarted(Math.max(now, this.startCallsEndAt), Infinity)
+    this.formerOrders.incarnationStarted(Math.max(now + this._limits.maximumCallDelayMilliseconds, this.ordersOverAt), this._raiseToken())
+  }
+
+  /** Returns the least token that orders for the former incarnation don't have; Infinity if there is none. */
+  private _raiseToken (): number {
+    const fence = this.client?.fence
+    // This owner has called no incarnation, and its tokens are higher than those of earlier owners.
+    if (!fence) return 0
+    const { token } = fence
+    fence.raiseAbove(token)
+    return fence.token > token ? fence.token : Infinity
   }
 }
--- a/src/workers/worker-table.ts
+++ b/src/workers/worker-table.ts
@@ -109,12 +109,12 @@
   }
 
   /**
-   * Returns whether a start may be sent to a worker now: it is schedulable, the journal has no bound on its leases, which wouldn't cover the start, and its capacity is known. Where workers don't refuse what exceeds their
+   * Returns whether a start may be sent to a worker now: it is schedulable, the journal has no bound on its leases, which wouldn't cover the start, no order for its former incarnation can be carried out, and its capacity is known. Where workers don't refuse what exceeds their
    * capacity, a capacity that may have shrunk since counts as unknown.
    */
   mayStart (worker: FleetWorker, now: number): boolean {
     const isCapacityKnown = this._configuration.pool(worker.entry.pool)?.rejectsOverload === true || this._registryFreshAt() > now - MAXIMUM_CAPACITY_AGE_MILLISECONDS
-    return this.isSchedulable(worker) && worker.isEntryCurrent && !worker.hasLeaseBound && isCapacityKnown
+    return this.isSchedulable(worker) && worker.isEntryCurrent && !worker.hasLeaseBound && !worker.formerOrders.arePossible(now) && isCapacityKnown
   }
 
   /** Returns whether new tasks may be placed on a worker now: it may be sent starts, and is reachable, under a lease and not in cooldown. */
