Play series in which lasting tasks are moved about while owners and workers fail

Series with waves, moves, lasting jobs with budgets, workers that are cut off, lost or slow, runs that fail, processes that are held up for 0.2 to 4 s and owners that end in all the ways of the other series, with longest leases of 6 and 10 s, judged by the check of disruption budgets.

--- a/stand-ins/emulator/disruption-budget-violations.ts
+++ b/stand-ins/emulator/disruption-budget-violations.ts
@@ -27,6 +27,8 @@
   readonly noticeMilliseconds: number
   /** Whether a lease that expired on a worker at some time (epoch milliseconds) expired without any disturbance near, and so counts as an action of the system. */
   readonly isCalm: (worker: EmulatedWorker, at: number) => boolean
+  /** Whether stops that reached a worker at some time may have been held up on their way, which excuses them. */
+  readonly isHeldUp?: (worker: EmulatedWorker, at: number) => boolean
 }
 
 /** A run of a task of a step. */
@@ -48,12 +50,13 @@
  */
 export function disruptionBudgetViolations (record: PlatformRecord): string[] {
   for (const worker of record.workers) worker.completeDueRuns()
-  return record.steps.filter(({ budget }) => budget > 0).flatMap(step => stepViolations(step, runsOf(step, record), record.noticeMilliseconds))
+  return record.steps.filter(({ budget }) => budget > 0).flatMap(step => stepViolations(step, runsOf(step, record), record))
 }
 
-function stepViolations ({ name, tasks, budget, acceptedAt, cancelledAt }: BudgetedStep, runs: readonly Run[], noticeMilliseconds: number): string[] {
+function stepViolations ({ name, tasks, budget, acceptedAt, cancelledAt }: BudgetedStep, runs: readonly Run[], { noticeMilliseconds, isHeldUp = () => false }: PlatformRecord): string[] {
   const ended = runs.filter(({ action, until, worker }) => action !== '' && until < worker.drainingSince && until < cancelledAt).sort((left, right) => left.until - right.until)
   return ended.flatMap((run, index) => {
+    if (run.action === 'stop' && isHeldUp(run.worker, run.until)) return []
     // Of runs that end at the same moment, as all those on one VM do, the later ones see the earlier ones ended.
     const endedBefore = ended.slice(0, index)
     const away = Array.from({ length: tasks }, (_, task) => `${name}.${task}`).filter(task => task !== run.task).flatMap(task => {
--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -123,6 +123,12 @@
     this._changed.notify()
   }
 
+  /** Lets an active run fail. */
+  failRun (task: string): void {
+    this.completeDueRuns()
+    if (this._runs.has(task)) this._complete(task, 'failed', this._clock.now())
+  }
+
   /** Executes a call and returns the status and body of its response. */
   async handle (call: string, body: Record<string, never>): Promise<{ status: number, body: object }> {
     this.completeDueRuns()
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -41,6 +41,9 @@
   readonly newestReadDelays = new Map<string, number>()
   /** Topics whose reads the store refuses. */
   readonly unreadableTopics = new Set<string>()
+  /** Times that workers which start from now on take until a run is at work, and to stop one, in milliseconds. */
+  warmUpMilliseconds = 0
+  stopMilliseconds = 0
   /** Time after its start at which a worker registers, in milliseconds. */
   registrationMilliseconds = 0
   /** Bandwidth of the link to a caller, in bytes per second; unlimited for a caller without an entry. */
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -236,10 +236,10 @@
 
   private _add (worker: EmulatedWorker): void {
     this.workerIncarnations.push(worker)
-    worker.onCrash = () => { this._crashAndRestart(worker).catch(() => {}) }
+    const { registrationMilliseconds, warmUpMilliseconds, stopMilliseconds } = this.faults
+    Object.assign(worker, { warmUpMilliseconds, stopMilliseconds, onCrash: () => { this._crashAndRestart(worker).catch(() => {}) } })
     this._onWorkerAdded(worker)
     this._workersByAddress.set(worker.address, worker)
-    const { registrationMilliseconds } = this.faults
     if (registrationMilliseconds === 0) this.registry.register(worker)
     else this._clock.sleepUntil(this._clock.now() + registrationMilliseconds).then(() => this.registry.register(worker)).catch(() => {})
   }
