--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -102,7 +102,7 @@
 
   /** Registers a worker as draining. */
   drain (worker: EmulatedWorker): void {
-    worker.isDraining = true
+    worker.drainingSince = Math.min(worker.drainingSince, this._clock.now())
     this.registry.register(worker)
   }
 
@@ -233,10 +233,10 @@
 
   private _add (worker: EmulatedWorker): void {
     this.workerIncarnations.push(worker)
-    worker.onCrash = () => { this._crashAndRestart(worker).catch(() => {}) }
+    const { registrationMilliseconds, warmUpMilliseconds, stopMilliseconds } = this.faults
+    Object.assign(worker, { warmUpMilliseconds, stopMilliseconds, onCrash: () => { this._crashAndRestart(worker).catch(() => {}) } })
     this._onWorkerAdded(worker)
     this._workersByAddress.set(worker.address, worker)
-    const { registrationMilliseconds } = this.faults
     if (registrationMilliseconds === 0) this.registry.register(worker)
     else this._clock.sleepUntil(this._clock.now() + registrationMilliseconds).then(() => this.registry.register(worker)).catch(() => {})
   }
