--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -38,8 +38,8 @@
 export class EmulatedWorker {
   /** Epoch milliseconds of the start of this incarnation. */
   readonly startedAt: number
-  /** Whether the worker is shutting down. */
-  isDraining = false
+  /** Epoch milliseconds since which the worker has been shutting down; Infinity if it isn't. */
+  drainingSince = Infinity
   /** Whether no call reaches the worker and no response leaves it. */
   isDisconnected = false
   /** Whether this incarnation has ended. */
@@ -50,6 +50,8 @@
   readonly capacities: { cpu: number, mem_mb: number, since: number }[] = []
   /** Time that a stop takes, in milliseconds. */
   stopMilliseconds = 0
+  /** Time after its start until a run is at work, in milliseconds. */
+  warmUpMilliseconds = 0
   /** Whether the worker refuses every start for want of room. */
   refusesStarts = false
   /** Whether a start is late by the lease that is in force rather than by its own deadline. */
@@ -66,6 +68,8 @@
   readonly starts: { task: string, run: number, startedAt: number }[] = []
   /** All run completions; `acknowledgedAt` is Infinity until the completion is acknowledged. */
   readonly completions: { task: string, run: number, result: string, completedAt: number, acknowledgedAt: number }[] = []
+  /** The first stop of each run that was there, for checks. */
+  readonly stopOrders: { task: string, run: number, at: number }[] = []
   private readonly _runs = new Map<string, ActiveRun>()
   /** Completions to report: number, task, run, result and checkpoint. */
   private _unacknowledgedCompletions: [number, string, number, string, string][] = []
@@ -84,6 +88,11 @@
     this.resize(capacity)
   }
 
+  /** Whether the worker is shutting down. */
+  get isDraining (): boolean {
+    return this.drainingSince < Infinity
+  }
+
   /** Resources that the worker reports. */
   get capacity (): { cpu: number, mem_mb: number } {
     return this.capacities[this.capacities.length - 1] ?? DEFAULT_CAPACITY
@@ -150,6 +159,7 @@
   private _stopRun (task: string, run: number): { status: number, body: object } {
     this._highestRuns.set(task, Math.max(this._highestRuns.get(task) ?? 0, run))
     if (this._runs.get(task)?.run !== run) return { status: 200, body: { clock_ms: this.clockMilliseconds } }
+    if (!this.stopOrders.some(order => order.task === task && order.run === run)) this.stopOrders.push({ task, run, at: this._clock.now() })
     if (this.stopMilliseconds === 0) this._complete(task, 'stopped', this._clock.now())
     else this._completeStop(task, run).catch(() => {})
     return { status: 200, body: { clock_ms: this.clockMilliseconds } }
@@ -179,7 +189,7 @@
       body: {
         born: this.startedAt,
         clock_ms: this.clockMilliseconds,
-        running: [...this.oddRows.running, ...[...this._runs.values()].map(({ task, run }) => [task, run, '', 100, this.load(task, this.speeds.get(task) ?? 100)])],
+        running: [...this.oddRows.running, ...[...this._runs.values()].map(({ task, run, startedAt }) => [task, run, '', this._clock.now() < startedAt + this.warmUpMilliseconds ? 0 : 100, this.load(task, this.speeds.get(task) ?? 100)])],
         ended: [...this._unacknowledgedCompletions.slice(0, COMPLETIONS_PER_RESPONSE), ...this.oddRows.ended]
       }
     }
--- a/stand-ins/emulator/platform-emulator.ts
+++ b/stand-ins/emulator/platform-emulator.ts
@@ -102,7 +102,7 @@
 
   /** Registers a worker as draining. */
   drain (worker: EmulatedWorker): void {
-    worker.isDraining = true
+    worker.drainingSince = Math.min(worker.drainingSince, this._clock.now())
     this.registry.register(worker)
   }
 
