Allow a run after a completion whose worker lost its lease before the acknowledgement

The platform's rules except a completion from the ones after which a task may not start: 'unless the minion's lease lapsed between the two; that stands for good'.

--- a/tests/run-violations.test.ts
+++ b/tests/run-violations.test.ts
@@ -25,6 +25,15 @@
   expect(runViolations(workers, () => true)).toEqual(findings)
 })
 
+test.each([
+  ['before the acknowledgement', 1_500, []],
+  ['after it', 2_200, [`${TASK}: run 2 started after run 1 was done and its completion was acknowledged`]]
+])('a run after a completion whose worker lost its lease %s is judged by that', (_, lapsedAt, findings) => {
+  const worker = workerWith('i-1', 1, 0, 1_000, 2_000)
+  worker.completions.push({ task: 'bbbb.0.0.0', run: 1, result: 'lapsed', completedAt: lapsedAt, acknowledgedAt: Infinity })
+  expect(runViolations([worker, workerWith('i-2', 2, 2_500, 4_000, 4_500)])).toEqual(findings)
+})
+
 // Guards against fleets that take two runs of any speculative step for a task and its copy.
 test.each<[string, Partial<StepDefinition>, { startAt?: number }, number]>([
   ['a speculative task', {}, {}, 0],
