Run the soak in the shape of a users' deployment too

The soak ran one small fleet with leases of 6 s, where faults never ceased and owners were hit by chance. The users saw two runs at once on a larger fleet with leases of 10 s.

--shape panel selects 7 processes, 47 workers in four pools and three zones with leases of 10 s, lasting jobs whose tasks run on workers of their own, and jobs that are submitted again seconds after they were accepted. Its faults come in series with calm periods between them: owners, known by the connections to workers, are killed, suspended and cut off; processes stall; zones are cut off; workers restart under their IDs, also behind a cut; and calls are delivered late to the incarnations that are there then. The connections of a process have the address of its VM, so that proxies can tell processes apart.

The budget of lasting tasks is checked in both shapes. What faults did and the runs that workers recorded are left in the folder of logs; so is when the soak itself stood still.

The deployment of before is the default.

--- a/soak/fault-proxy.ts
+++ b/soak/fault-proxy.ts
@@ -6,9 +6,10 @@
 
 /**
  * What the proxy does with connections: `open` forwards all data; `silent` drops the data in both directions; `mute` forwards
- * requests and drops responses; `refuse` resets new connections.
+ * requests and drops responses; `refuse` resets new connections; `late` forwards requests after `latenessMilliseconds`, on
+ * connections of their own, and drops their responses.
  */
-type ProxyMode = 'open' | 'silent' | 'mute' | 'refuse'
+type ProxyMode = 'open' | 'silent' | 'mute' | 'refuse' | 'late'
 
 /** A connection through the proxy. */
 interface ProxiedConnection {
@@ -16,6 +17,10 @@
   readonly target: Socket
   /** Whether all further data of the connection is dropped, as by a middlebox that has lost its state. */
   isBlackholed: boolean
+  /** Lateness of the connection's requests, in milliseconds; 0 if they aren't late. */
+  latenessMilliseconds: number
+  /** Connection on which late requests are forwarded; null before the first. */
+  lateTarget: Socket | null
 }
 
 /** Forwards connections from the system's processes to one address, and applies faults to them. */
@@ -23,6 +28,13 @@
   mode: ProxyMode = 'open'
   /** Delay of each chunk of data, in milliseconds. */
   delayMilliseconds = 0
+  /** Lateness of requests in mode \`late\`, in milliseconds. */
+  latenessMilliseconds = 0
+  /** IP addresses of callers whose connections carry no data in either direction. */
+  readonly blockedCallers = new Set<string>()
+  /** IP address of the last caller that sent data, and the epoch milliseconds of that; empty before. */
+  lastCaller = { address: '', at: 0 }
+  private _isClosed = false
   private readonly _connections = new Set<ProxiedConnection>()
   private readonly _server: Server
 
@@ -53,6 +65,7 @@
 
   /** Resets all connections and closes the server. */
   close (): void {
+    this._isClosed = true
     this.reset()
     this._server.close()
   }
@@ -63,10 +76,17 @@
       return
     }
     const target = connect(this._targetPort, '127.0.0.1')
-    const connection: ProxiedConnection = { caller, target, isBlackholed: false }
+    const connection: ProxiedConnection = { caller, target, isBlackholed: false, latenessMilliseconds: 0, lateTarget: null }
     this._connections.add(connection)
-    caller.on('data', bytes => this._forward(connection, target, bytes, this.mode === 'silent'))
-    target.on('data', bytes => this._forward(connection, caller, bytes, this.mode !== 'open'))
+    const callerAddress = caller.remoteAddress ?? ''
+    caller.on('data', bytes => {
+      this.lastCaller = { address: callerAddress, at: Date.now() }
+      // The rest of a request that is late is late as well.
+      if (this.mode === 'late' && !connection.isBlackholed && connection.latenessMilliseconds === 0) connection.latenessMilliseconds = this.latenessMilliseconds
+      if (connection.latenessMilliseconds > 0) this._forwardLate(connection, bytes)
+      else this._forward(connection, target, bytes, this.mode === 'silent' || this.blockedCallers.has(callerAddress))
+    })
+    target.on('data', bytes => this._forward(connection, caller, bytes, this.mode !== 'open' || connection.latenessMilliseconds > 0 || this.blockedCallers.has(callerAddress)))
     for (const [socket, peer] of [[caller, target], [target, caller]] as const) {
       // A reset by one end causes an error event; the close event that follows destroys the other end.
       socket.on('error', () => {})
@@ -77,6 +97,15 @@
     }
   }
 
+  private _forwardLate (connection: ProxiedConnection, bytes: Buffer): void {
+    setTimeout(() => {
+      if (this._isClosed) return
+      // Responses are dropped; an error event precedes the close of the connection.
+      connection.lateTarget ??= connect(this._targetPort, '127.0.0.1').on('error', () => {}).resume()
+      if (!connection.lateTarget.destroyed) connection.lateTarget.write(bytes)
+    }, connection.latenessMilliseconds)
+  }
+
   private _forward (connection: ProxiedConnection, destination: Socket, bytes: Buffer, isDropped: boolean): void {
     // A connection that has lost data can't continue, even after the fault.
     if (isDropped) connection.isBlackholed = true
--- a/soak/job-entry.ts
+++ b/soak/job-entry.ts
@@ -17,8 +17,8 @@
   unconfirmedAttempts: number
   /** Epoch milliseconds of the response that cancelled the job; Infinity before. */
   cancelledAt: number
-  /** Whether a cancellation request was sent. */
-  isCancellationSent: boolean
+  /** Epoch milliseconds at which a cancellation request was sent; Infinity if none was. */
+  cancellationSentAt: number
   /** State in the last response. */
   state: string
   /** Epoch milliseconds of that response. */
--- a/soak/job-ledger.ts
+++ b/soak/job-ledger.ts
@@ -20,7 +20,7 @@
   add (id: string, tasks: readonly string[], isLasting: boolean): JobEntry {
     const isDeadly = !isLasting && this.deadlyJobsDue > 0
     if (isDeadly) this.deadlyJobsDue -= 1
-    const entry: JobEntry = { id, tasks, isLasting, isDeadly, acceptedAt: Infinity, unconfirmedAttempts: 0, cancelledAt: Infinity, isCancellationSent: false, state: '', stateReadAt: 0 }
+    const entry: JobEntry = { id, tasks, isLasting, isDeadly, acceptedAt: Infinity, unconfirmedAttempts: 0, cancelledAt: Infinity, cancellationSentAt: Infinity, state: '', stateReadAt: 0 }
     this.jobs.set(id, entry)
     return entry
   }
@@ -39,7 +39,7 @@
     const isStale = (state === 'running' || state === 'queued') && !this._faultIntervals.isFaultFree(entry.stateReadAt, Date.now())
     if (entry.state === 'completed' && state !== 'completed' && !isStale) this.findings.push(`${entry.id}: reported as completed, and later as ${state}`)
     if (state === 'completed' && !this._areTasksDone(entry)) this.findings.push(`${entry.id}: reported as completed before all its tasks were done`)
-    if (state === 'cancelled' && !entry.isCancellationSent) this.findings.push(`${entry.id}: reported as cancelled, but its caller sent no cancellation`)
+    if (state === 'cancelled' && entry.cancellationSentAt === Infinity) this.findings.push(`${entry.id}: reported as cancelled, but its caller sent no cancellation`)
     if (state === 'failed' && !entry.isDeadly) this.findings.push(`${entry.id}: reported as failed, but none of its tasks fails`)
     if (isStale && entry.state === 'completed') return
     entry.state = state
--- a/soak/node-process.ts
+++ b/soak/node-process.ts
@@ -7,6 +7,16 @@
 /** The bundled program, as it is deployed. */
 const PROGRAM = 'target/samphireglade-node.mjs'
 
+/** Module that binds the connections of a process to the address of its VM, so that proxies can tell processes apart. */
+const connectionBinder = (host: string): string => `data:text/javascript,${encodeURIComponent(`
+import { Socket } from 'node:net'
+const { connect } = Socket.prototype
+Socket.prototype.connect = function (...options) {
+  const [first] = options.flat()
+  if (typeof first === 'object' && first !== null) first.localAddress ??= '${host}'
+  return connect.apply(this, options)
+}`)}`
+
 /** Time that Node takes to reach the program's first statement, which installs the SIGHUP handler; until then SIGHUP terminates the process. */
 const NODE_STARTUP_MILLISECONDS = 1_000
 
@@ -19,6 +29,8 @@
   readonly ports: { readonly callers: number, readonly readiness: number, readonly metrics: number }
   readonly storePort: number
   readonly virtualMachinesPort: number
+  /** Longest lease that workers grant, in milliseconds. */
+  readonly maximumLeaseMilliseconds: number
   /** Folder for the settings and the log of the process. */
   readonly folder: string
   /** Options of Node, such as the size of the heap. */
@@ -60,7 +72,7 @@
   start (): void {
     if (this._child) return
     const log = createWriteStream(`${this.configuration.folder}/${this.configuration.name}.log`, { flags: 'a' })
-    const child = spawn(process.execPath, [...this.configuration.nodeOptions ?? [], PROGRAM, '--settings', this._settingsPath], { stdio: ['ignore', 'pipe', 'pipe'], env: {} })
+    const child = spawn(process.execPath, ['--import', connectionBinder(this.configuration.host), ...this.configuration.nodeOptions ?? [], PROGRAM, '--settings', this._settingsPath], { stdio: ['ignore', 'pipe', 'pipe'], env: {} })
     this._child = child
     this._isExitExpected = false
     this._startedAt = Date.now()
@@ -119,12 +131,12 @@
   }
 
   private _settings (): string {
-    const { name, zone, host, ports, storePort, virtualMachinesPort, furtherSettings = '' } = this.configuration
+    const { name, zone, host, ports, storePort, virtualMachinesPort, maximumLeaseMilliseconds, furtherSettings = '' } = this.configuration
     return [
       '[process]', `id = "${name}"`, `availabilityZone = "${zone}"`,
       '[listen]', `callers = "${host}:${ports.callers}"`, `readiness = "${host}:${ports.readiness}"`, `metrics = "${host}:${ports.metrics}"`,
       '[platform]', `store = "127.0.0.1:${storePort}"`, `machines = "127.0.0.1:${virtualMachinesPort}"`, 'advice = ""',
-      '[bounds]', 'maximumLeaseMilliseconds = 6000', 'maximumCallDelayMilliseconds = 12000', 'statusRetentionMilliseconds = 120000', 'holderChangeMilliseconds = 3000', 'moveMilliseconds = 1500', 'maintenanceMilliseconds = 2000', furtherSettings, ''
+      '[bounds]', `maximumLeaseMilliseconds = ${maximumLeaseMilliseconds}`, 'maximumCallDelayMilliseconds = 12000', 'statusRetentionMilliseconds = 120000', 'holderChangeMilliseconds = 3000', 'moveMilliseconds = 1500', 'maintenanceMilliseconds = 2000', furtherSettings, ''
     ].join('\n')
   }
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -3,23 +3,31 @@
  */
 import yargs from 'yargs'
 import { REGRESSION_SEEDS } from './regression-seeds.js'
+import { MixedShape } from './shapes/mixed-shape.js'
+import { PanelShape } from './shapes/panel-shape.js'
 import { SoakRun } from './soak-run.js'
 
-const { first, seeds, regressions, seconds, processes, workers, callers } = await yargs(process.argv.slice(2)).options({
+/** Deployments by the name that selects them. */
+const SHAPES = { mixed: MixedShape, panel: PanelShape }
+
+const { first, seeds, regressions, shape: shapeName, seconds, processes, workers, callers } = await yargs(process.argv.slice(2)).options({
   first: { type: 'number', default: 1, describe: 'first seed' },
   seeds: { type: 'number', default: 1, describe: 'number of consecutive seeds, run one after the other' },
   regressions: { type: 'boolean', default: false, describe: 'run the seeds that have failed before, instead of --first and --seeds' },
   seconds: { type: 'number', default: 20, describe: 'duration of fault injection in each run' },
-  processes: { type: 'number', default: 6, describe: 'number of system processes' },
-  workers: { type: 'number', default: 12, describe: 'number of emulated workers' },
-  callers: { type: 'number', default: 8, describe: 'number of callers, at most 16' }
+  shape: { choices: ['mixed', 'panel'] as const, default: 'mixed' as const, describe: 'deployment and its faults: small with all kinds of faults, or the size of cms-panel with owners lost beside workers' },
+  processes: { type: 'number', describe: 'number of system processes, if not that of the shape' },
+  workers: { type: 'number', describe: 'number of emulated workers, if not that of the shape' },
+  callers: { type: 'number', describe: 'number of callers, at most 16, if not that of the shape' }
 }).strict().parse()
 
 const formatCounts = (counts: ReadonlyMap<string, number>): string => [...counts].sort(([left], [right]) => left < right ? -1 : 1).map(([name, count]) => `${name}: ${count}`).join(', ')
 let failedSeeds = 0
 const selectedSeeds = regressions ? REGRESSION_SEEDS.map(({ seed }) => seed) : Array.from({ length: seeds }, (_, index) => first + index)
 for (const seed of selectedSeeds) {
-  const report = await new SoakRun(seed, { processes, workers, callers, faultMilliseconds: seconds * 1_000 }).run()
+  const shape = new SHAPES[shapeName]()
+  const sizes = { processes: processes ?? shape.sizes.processes, workers: workers ?? shape.sizes.workers, callers: callers ?? shape.sizes.callers }
+  const report = await new SoakRun(seed, shape, { ...sizes, faultMilliseconds: seconds * 1_000 }).run()
   if (report.findings.length > 0) failedSeeds += 1
   process.stdout.write(`seed ${seed}: ${report.findings.length} findings; ${report.accepted} of ${report.jobs} jobs accepted; ${formatCounts(report.responseCounts)}; faults: ${formatCounts(report.faultCounts)}\n`)
   for (const finding of report.findings.slice(0, 20)) process.stdout.write(`  ${finding}\n`)
--- a/soak/soak-checks.ts
+++ b/soak/soak-checks.ts
@@ -2,6 +2,7 @@
  * Checks at the end of a soak run.
  */
 import type { Clock } from '../src/supervision/clock.js'
+import { disruptionBudgetViolations } from '../stand-ins/emulator/disruption-budget-violations.js'
 import { runViolations } from '../stand-ins/emulator/run-violations.js'
 import type { CallerTask } from './caller-task.js'
 import type { JobEntry } from './job-entry.js'
@@ -16,6 +17,12 @@
 /** Starts after its third crash with which a task breaks the platform's rule. */
 const MAXIMUM_STARTS_AFTER_THIRD_CRASH = 3
 
+/** Number of tasks of a lasting step that may be away at a time by the system's own actions, as the callers' jobs state it. */
+const DISRUPTION_BUDGET = 1
+
+/** The platform's time after which a task that isn't at work counts as away. */
+const NOTICE_MILLISECONDS = 4_500
+
 /** Interval between two checks of a condition. */
 const POLL_INTERVAL_MILLISECONDS = 500
 
@@ -28,10 +35,10 @@
     const { ledger, emulator, nodes } = this._fleet
     const accepted = [...ledger.jobs.values()].filter(({ acceptedAt }) => acceptedAt < Infinity)
     const ordinary = accepted.filter(({ isLasting }) => !isLasting)
-    const lasting = accepted.filter(({ isLasting, isCancellationSent }) => isLasting && !isCancellationSent)
+    const lasting = accepted.filter(({ isLasting, cancellationSentAt }) => isLasting && cancellationSentAt === Infinity)
     const unfinished = await this._unsatisfied(ordinary, async entry => {
       await this._caller.queryState(entry)
-      return entry.state === (entry.isDeadly ? 'failed' : 'completed') || (entry.isCancellationSent && entry.state === 'cancelled')
+      return entry.state === (entry.isDeadly ? 'failed' : 'completed') || (entry.cancellationSentAt < Infinity && entry.state === 'cancelled')
     })
     const incomplete = await this._unsatisfied(lasting, async ({ tasks }) => tasks.every(task => emulator.workerIncarnations.some(({ running }) => running.includes(task))))
     return [
@@ -39,6 +46,7 @@
       ...unfinished.map(({ id, state }) => `${id}: accepted, but ${state === '' ? 'in an unknown state' : state} ${COMPLETION_BOUND_MILLISECONDS} ms after the last fault`),
       ...incomplete.map(({ id }) => `${id}: a task of this lasting job isn't running`),
       ...runViolations(emulator.workerIncarnations),
+      ...this._budgetViolations(),
       ...this._crashingTasks(),
       ...this._runsOfRefusedJobs(),
       ...this._startsAfterCancellation(),
@@ -59,6 +67,14 @@
     return pending
   }
 
+  /** Finds lasting tasks that the system's own actions ended while too many others of their step were away. */
+  private _budgetViolations (): string[] {
+    const { ledger, emulator, faultIntervals } = this._fleet
+    const steps = [...ledger.jobs.values()].filter(({ isLasting, acceptedAt }) => isLasting && acceptedAt < Infinity)
+      .map(({ id, tasks, acceptedAt, cancellationSentAt }) => ({ name: `${id}.0.0`, tasks: tasks.length, budget: DISRUPTION_BUDGET, acceptedAt, cancelledAt: cancellationSentAt }))
+    return disruptionBudgetViolations({ workers: emulator.workerIncarnations, orders: emulator.virtualMachines.orders, steps, noticeMilliseconds: NOTICE_MILLISECONDS, isCalm: (_, at) => faultIntervals.isFaultFree(at, at) })
+  }
+
   /** Finds tasks that were started too often after they had crashed several workers. */
   private _crashingTasks (): string[] {
     const { ledger: { jobs }, emulator: { workerIncarnations } } = this._fleet
--- /dev/null
+++ b/soak/stall-watch-task.ts
@@ -0,0 +1,30 @@
+/**
+ * Records when the soak test itself stands still.
+ */
+import { Task } from '../src/supervision/task.js'
+import type { SoakFleet } from './soak-fleet.js'
+
+/** Interval between two looks at the clock. */
+const INTERVAL_MILLISECONDS = 50
+
+/** Lateness of a look from which on it is recorded; the platform's ordinary calls take a few milliseconds. */
+const RECORDED_MILLISECONDS = 250
+
+/** Records late timers: while the soak test's event loop is busy, the emulated platform executes no calls. */
+export class StallWatchTask extends Task {
+  override readonly name = 'stall watch'
+
+  constructor (private readonly _fleet: SoakFleet) {
+    super()
+  }
+
+  override async run (signal: AbortSignal): Promise<void> {
+    const { clock } = this._fleet
+    while (!signal.aborted) {
+      const dueAt = clock.now() + INTERVAL_MILLISECONDS
+      await clock.sleepUntil(dueAt, signal).catch(() => {})
+      const lateness = clock.now() - dueAt
+      if (lateness >= RECORDED_MILLISECONDS) this._fleet.record(`the soak test stood still for ${Math.round(lateness)} ms`)
+    }
+  }
+}
