--- a/soak/faults/process-stalls.ts
+++ b/soak/faults/process-stalls.ts
@@ -16,6 +16,11 @@
 export class ProcessStalls extends SoakFault {
   override readonly name = 'processes stalled'
 
+  /** @param isPlanned whether all guarantees have to hold during stalls, as on machines whose stalls nobody notices. */
+  constructor (override readonly isPlanned: boolean) {
+    super()
+  }
+
   override async begin (fleet: SoakFleet, random: RandomSource): ReturnType<SoakFault['begin']> {
     const { nodes, clock } = fleet
     const stalls = nodes.filter(() => random.next() < STALL_PROBABILITY).map(async node => {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -5,17 +5,18 @@
 import { REGRESSION_SEEDS } from './regression-seeds.js'
 import { MixedShape } from './shapes/mixed-shape.js'
 import { PanelShape } from './shapes/panel-shape.js'
+import { StallingPanelShape } from './shapes/stalling-panel-shape.js'
 import { SoakRun } from './soak-run.js'
 
 /** Deployments by the name that selects them. */
-const SHAPES = { mixed: MixedShape, panel: PanelShape }
+const SHAPES = { mixed: MixedShape, panel: PanelShape, 'stalling-panel': StallingPanelShape }
 
 const { first, seeds, regressions, shape: shapeName, seconds, processes, workers, callers } = await yargs(process.argv.slice(2)).options({
   first: { type: 'number', default: 1, describe: 'first seed' },
   seeds: { type: 'number', default: 1, describe: 'number of consecutive seeds, run one after the other' },
   regressions: { type: 'boolean', default: false, describe: 'run the seeds that have failed before, instead of --first and --seeds' },
   seconds: { type: 'number', default: 20, describe: 'duration of fault injection in each run' },
-  shape: { choices: ['mixed', 'panel'] as const, default: 'mixed' as const, describe: 'deployment and its faults: small with all kinds of faults, or the size of cms-panel with owners lost beside workers' },
+  shape: { choices: ['mixed', 'panel', 'stalling-panel'] as const, default: 'mixed' as const, describe: 'deployment and its faults: small with all kinds of faults, or the size of cms-panel with owners lost beside workers, or with processes that stall' },
   processes: { type: 'number', describe: 'number of system processes, if not that of the shape' },
   workers: { type: 'number', describe: 'number of emulated workers, if not that of the shape' },
   callers: { type: 'number', describe: 'number of callers, at most 16, if not that of the shape' }
--- a/soak/shapes/panel-shape.ts
+++ b/soak/shapes/panel-shape.ts
@@ -22,7 +22,7 @@
 
   override createFaults (): ReturnType<SoakShape['createFaults']> {
     return [
-      new OwnerLoss(), new OwnerLoss(), new OwnerLoss(), new ProcessStalls(), new ProcessStalls(), new WorkerDisconnection(), new ZoneDisconnection(), new ZoneDisconnection(),
+      new OwnerLoss(), new OwnerLoss(), new OwnerLoss(), new ProcessStalls(false), new ProcessStalls(false), new WorkerDisconnection(), new ZoneDisconnection(), new ZoneDisconnection(),
       new WorkerRestarts(), new WorkerRestarts(), new LateCalls(), new LateCalls(), new RestartBeforeOwnerLoss(), new RestartBeforeOwnerLoss(), new PlannedRestart(), new ResetConnections(), new MaintenanceWave()
     ]
   }
