Choose the soak's faults by name, and vary its cuts about the longest lease

The first runs of the larger shape kept restarted workers cut off for 11 s, longer than any lease, so that none came back between the bound of the next owner and the end of its lease. Emulated workers record leases that had expired before a call renewed them; the runs left in the folder of logs show the next one after each completion.

--- a/soak/faults/restart-before-owner-loss.ts
+++ b/soak/faults/restart-before-owner-loss.ts
@@ -10,8 +10,8 @@
 const DOWNTIME_MILLISECONDS = 1_500
 const RUNNING_MILLISECONDS = 4_000
 
-/** Time for which a restarted worker is cut off; longer than any lease. */
-const CUT_MILLISECONDS = 11_000
+/** Bounds of the time for which the restarted workers are cut off, from the leases that owners ask for to more than the longest one. */
+const CUT_MILLISECONDS = { minimum: 5_000, maximum: 12_000 }
 
 /** Delays the calls to the workers of a zone until they are back under their IDs, and then kills the owner and cuts these workers off. */
 export class RestartBeforeOwnerLoss extends SoakFault {
@@ -36,7 +36,7 @@
     fleet.record(`${owner.configuration.name} killed, workers of zone ${zone} cut off`)
     for (const proxy of proxies) proxy.mode = 'silent'
     await owner.kill()
-    const cutUntil = clock.now() + CUT_MILLISECONDS
+    const cutUntil = clock.now() + CUT_MILLISECONDS.minimum + random.integer(CUT_MILLISECONDS.maximum - CUT_MILLISECONDS.minimum)
     return async () => {
       owner.start()
       await clock.sleepUntil(cutUntil)
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -154,7 +154,11 @@
 
   /** Writes what faults did and the runs that workers recorded into the folder, one JSON line each. */
   writeRecords (): void {
-    const runs = this.emulator.workerIncarnations.flatMap(({ id, zone, startedAt: workerStartedAt, starts, completions }) => starts.map(start => ({ worker: id, zone, workerStartedAt, ...start, ...completions.find(({ task, run }) => task === start.task && run === start.run) })))
+    const runs = this.emulator.workerIncarnations.flatMap(({ id, zone, startedAt: workerStartedAt, leaseExpiries, starts, completions }) => starts.map(start => {
+      const completion = completions.find(({ task, run }) => task === start.task && run === start.run)
+      const nextLeaseExpiry = leaseExpiries.find(at => at >= (completion?.completedAt ?? Infinity))
+      return { worker: id, zone, workerStartedAt, ...start, ...completion, nextLeaseExpiry }
+    }))
     for (const [name, rows] of [['events', this.events], ['runs', runs]] as const) writeFileSync(join(this.folder, `${name}.jsonl`), rows.map(row => `${JSON.stringify(row)}\n`).join(''))
   }
 
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -14,13 +14,15 @@
 /** Time that processes get to start before callers and faults begin. */
 const STARTUP_MILLISECONDS = 3_000
 
-/** Sizes of a soak run. */
+/** Sizes of a soak run, and the choice of its faults. */
 interface SoakSizes {
   readonly processes: number
   readonly workers: number
   readonly callers: number
   /** Duration of fault injection, in milliseconds. */
   readonly faultMilliseconds: number
+  /** Names of the faults to inject; all of the shape if there are none. */
+  readonly only?: readonly string[]
 }
 
 /** Runs callers and faults against a fleet, and then checks the system's guarantees. */
@@ -33,7 +35,7 @@
     const fleet = new SoakFleet(random, this._shape)
     const { clock, faultIntervals, ledger } = fleet
     const supervisor = new Supervisor('soak', clock, { childRestarted: (_, name, error) => ledger.findings.push(`soak: ${name} restarted: ${error.message}`), childFailed: (_, name, error) => ledger.findings.push(`soak: ${name} failed: ${error.message}`) })
-    const faultInjection = new FaultInjectionTask(this._shape.createFaults(), this._shape.schedule, fleet, clock, new SeededRandomSource(this._seed + 1))
+    const faultInjection = new FaultInjectionTask(this._faults(), this._shape.schedule, fleet, clock, new SeededRandomSource(this._seed + 1))
     const callers = Array.from({ length: this._sizes.callers }, (_, index) => new CallerTask(index, fleet, this._shape.jobs, new SeededRandomSource(this._seed + 2 + index)))
     const stopController = new AbortController()
     const [firstCaller] = callers
@@ -59,4 +61,12 @@
       await fleet.close()
     }
   }
+
+  private _faults (): ReturnType<SoakShape['createFaults']> {
+    const { only = [] } = this._sizes
+    const faults = this._shape.createFaults()
+    const unknown = only.filter(name => !faults.some(fault => fault.name === name))
+    if (unknown.length > 0) throw new Error(`unknown faults: ${unknown.join(', ')}; the shape has: ${[...new Set(faults.map(({ name }) => name))].join(', ')}`)
+    return only.length === 0 ? faults : faults.filter(({ name }) => only.includes(name))
+  }
 }
--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -68,6 +68,8 @@
   readonly starts: { task: string, run: number, startedAt: number }[] = []
   /** All run completions; `acknowledgedAt` is Infinity until the completion is acknowledged. */
   readonly completions: { task: string, run: number, result: string, completedAt: number, acknowledgedAt: number }[] = []
+  /** Epoch milliseconds at which leases had expired that a call renewed afterwards, for checks. */
+  readonly leaseExpiries: number[] = []
   /** The first stop of each run that was there, for checks. */
   readonly stopOrders: { task: string, run: number, at: number }[] = []
   private readonly _runs = new Map<string, ActiveRun>()
@@ -200,6 +202,8 @@
   }
 
   private _extendLease (deadline: number): void {
+    const isRenewed = Math.min(deadline, this.clockMilliseconds + this._maximumLeaseMilliseconds) > this._leaseDeadline
+    if (isRenewed && this._leaseDeadline > 0 && this.clockMilliseconds >= this._leaseDeadline) this.leaseExpiries.push(this._clock.now() - (this.clockMilliseconds - this._leaseDeadline) / this.clockRate)
     this._leaseDeadline = Math.max(this._leaseDeadline, Math.min(deadline, this.clockMilliseconds + this._maximumLeaseMilliseconds))
   }
 
