Don't take a zone out of service twice at once in the soak

Two evacuations of the same zone overlapped: the end of the first returned the zone, and the check of the second went on counting starts there. The draw of faults stays the same.

--- a/soak/faults/zone-evacuation.ts
+++ b/soak/faults/zone-evacuation.ts
@@ -12,13 +12,19 @@
 export class ZoneEvacuation extends SoakFault {
   override readonly name = 'zone evacuated'
   override readonly isPlanned = true
+  private readonly _zonesOut = new Set<string>()
 
   override async begin (fleet: SoakFleet, random: RandomSource): ReturnType<SoakFault['begin']> {
     const zone = this.pick(['a', 'b', 'c'], random)
+    // The end of an evacuation returns the zone, so that another one of the same zone can't overlap it.
+    if (this._zonesOut.has(zone)) return () => {}
+    this._zonesOut.add(zone)
+    fleet.record(`zone ${zone} taken out of service`)
     const outAt = Date.now()
     fleet.emulator.publish(`evacuate/${zone}`, {})
     return () => {
       const returnedAt = Date.now()
+      this._zonesOut.delete(zone)
       fleet.emulator.publish(`evacuate/${zone}`, null)
       for (const { starts } of fleet.emulator.workerIncarnations.filter(worker => worker.zone === zone)) {
         const lateStarts = starts.filter(({ startedAt }) => startedAt > outAt + EVACUATION_BOUND_MILLISECONDS && startedAt < returnedAt && fleet.faultIntervals.isFaultFree(outAt, startedAt))
