Count it as a fault when the soak itself stands still

While the soak's event loop is late, the emulated store and workers execute nothing, as in an outage of the platform. The event and its duration are recorded beside the faults.

--- a/soak/fault-intervals.ts
+++ b/soak/fault-intervals.ts
@@ -16,6 +16,11 @@
     return () => { interval.until = Date.now() + RECOVERY_MILLISECONDS }
   }
 
+  /** Adds the interval of a fault that is over (epoch milliseconds). */
+  add (from: number, until: number): void {
+    this._intervals.push({ from, until: until + RECOVERY_MILLISECONDS })
+  }
+
   /** Whether no fault, with its recovery time, overlaps the time between two moments (epoch milliseconds). */
   isFaultFree (from: number, until: number): boolean {
     return !this._intervals.some(fault => fault.from <= until && fault.until >= from)
--- a/soak/stall-watch-task.ts
+++ b/soak/stall-watch-task.ts
@@ -1,5 +1,5 @@
 /**
- * Records when the soak test itself stands still.
+ * Watches whether the soak test itself stands still.
  */
 import { Task } from '../src/supervision/task.js'
 import type { SoakFleet } from './soak-fleet.js'
@@ -7,10 +7,10 @@
 /** Interval between two looks at the clock. */
 const INTERVAL_MILLISECONDS = 50
 
-/** Lateness of a look from which on it is recorded; the platform's ordinary calls take a few milliseconds. */
-const RECORDED_MILLISECONDS = 250
+/** Lateness of a look from which on it counts as a fault; the platform's ordinary calls take a few milliseconds. */
+const STALL_MILLISECONDS = 250
 
-/** Records late timers: while the soak test's event loop is busy, the emulated platform executes no calls. */
+/** Counts late timers as faults: while the soak test's event loop stands still, the emulated platform executes no calls. */
 export class StallWatchTask extends Task {
   override readonly name = 'stall watch'
 
@@ -24,7 +24,9 @@
       const dueAt = clock.now() + INTERVAL_MILLISECONDS
       await clock.sleepUntil(dueAt, signal).catch(() => {})
       const lateness = clock.now() - dueAt
-      if (lateness >= RECORDED_MILLISECONDS) this._fleet.record(`the soak test stood still for ${Math.round(lateness)} ms`)
+      if (lateness < STALL_MILLISECONDS) continue
+      this._fleet.faultIntervals.add(dueAt, clock.now())
+      this._fleet.record(`the soak test stood still for ${Math.round(lateness)} ms`)
     }
   }
 }
