Count orders for incarnations that an owner has forgotten or never knew

What callers saw: two runs at once, or a run that started again after it was done, on a worker that is back under its ID after its entry had expired, or that no owner had called for 15 s. Cause: an idle worker whose entry expires is forgotten, with the fencing token of the calls that are still on their way; when it is listed again nothing says that it has had another incarnation. A worker counted as young for 15 s, while a late order's lease lasts up to 10.2 s longer. A record of an earlier incarnation that expired deleted that of a later one which was about to be written. Change: a fence is kept for the longest delay of a call after a worker's last call, and raised if the worker is listed again meanwhile; the longest lease of an incarnation that is heard of first counts from the first answer or the end of its youth, whichever is earlier, for as long as it lasts; no record is removed while its worker may hold the longest lease.

--- a/src/leases/lease-bounds.ts
+++ b/src/leases/lease-bounds.ts
@@ -81,7 +81,12 @@
   /** Writes the longest leases of workers that have restarted with runs, and removes those that have expired. */
   private _refreshLongest (workers: readonly FleetWorker[], now: number): void {
     for (const worker of workers) if (worker.tasks.size > 0) recordLongestLease(worker, now, this._writer, this._fleetTime, this._log)
-    for (const worker of this._jobTable.longestLeases.expiredBy(now)) {
+    const expired = this._jobTable.longestLeases.expiredBy(now)
+    if (expired.length === 0) return
+    // A record of a later incarnation may be about to be written.
+    const holding = new Set(workers.filter(({ formerOrders }) => formerOrders.leaseExpiresAt >= now).map(({ entry }) => entry.id))
+    for (const worker of expired) {
+      if (holding.has(worker)) continue
       this._jobTable.longestLeases.remove(worker)
       this._writer.append({ kind: 'longest-lease-end', worker })
     }
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -141,7 +141,7 @@
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, runLog, health.history, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(store, WORKER_TOPIC, clock, log), record => WorkerCodec.decode(record), log)
     const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
-      workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(dialer), new OrderFences(term),
+      workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(dialer), new OrderFences(term, timings.maximumCallDelayMilliseconds),
       worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseBounds, permit, leaseMilliseconds, pace, onLost, clock, random, metrics, log),
       workerFeed, clock, random, metrics, log
     )
--- a/src/workers/former-orders.ts
+++ b/src/workers/former-orders.ts
@@ -14,8 +14,8 @@
   private _possibleUntil = 0
   /** Least fencing token whose answer shows that none is carried out any more. */
   private _refusingToken = 0
-  /** Whether an earlier owner may have sent some, and nothing more is known of them before the first answer. */
-  private _areSuspected = false
+  /** Epoch milliseconds until which ones of earlier owners may be carried out, of which nothing is known before the first answer; 0 for none. */
+  private _suspectedUntil = 0
   /** Epoch milliseconds by which the leases have expired that earlier owners knew of; 0 for none. */
   private _inheritedExpiry = 0
   /** What the journal has of `leaseExpiresAt`. */
@@ -53,7 +53,7 @@
   incarnationStarted (possibleUntil: number, refusingToken: number): void {
     this._possibleUntil = possibleUntil
     this._refusingToken = refusingToken
-    this._areSuspected = false
+    this._suspectedUntil = 0
     this._inheritedExpiry = 0
     this._recordedExpiry = 0
   }
@@ -69,17 +69,21 @@
     this._recordedExpiry = expiresAt
   }
 
-  /** Lets the first answer tell until when such a lease lasts: an earlier owner may have sent orders to a former incarnation that none has told of. Runs of earlier owners weren't placed beside such a lease. */
-  suspect (): void {
-    this._possibleUntil = 0
-    this._areSuspected = true
+  /**
+   * Lets the first answer tell until when such a lease lasts: an earlier owner may have sent orders to a former incarnation that the journal doesn't tell of. Runs of earlier owners weren't placed
+   * beside such a lease.
+   *
+   * @param until epoch milliseconds by which none of them is carried out any more.
+   */
+  suspect (until: number): void {
+    this._suspectedUntil = until
   }
 
   /** Applies an answer of the worker to a call of this owner. */
   answered (token: number, now: number): void {
-    if (this._areSuspected) {
-      this._areSuspected = false
-      this._possibleUntil = now
+    if (this._suspectedUntil > 0) {
+      this._possibleUntil = Math.min(now, this._suspectedUntil)
+      this._suspectedUntil = 0
     } else if (token >= this._refusingToken) this._possibleUntil = Math.min(this._possibleUntil, now)
   }
 }
--- a/src/workers/worker-registry-follower-task.ts
+++ b/src/workers/worker-registry-follower-task.ts
@@ -94,10 +94,12 @@
     const { entry: { id } } = worker
     worker.client = this._connector.connect(worker.entry, this._fences.of(id))
     const { client } = worker
+    const ordersOverAt = this._fences.takeOrdersOverAt(id)
+    if (ordersOverAt > this.clock.now()) worker.shutOutOrders(ordersOverAt)
     this._leaseSupervisor.start(this._createLeaseRenewalTask(worker)).ended.then(async () => {
       if (worker.client === client) worker.client = null
       await client.close()
-      if (!this._workers.find(id)) this._fences.forgetUnraised(id)
+      if (!this._workers.find(id)) this._fences.release(id, this.clock.now())
     }).catch((error: Error) => this.log.emit('closing worker connections failed', { worker: id, cause: error.message }))
   }
 
--- a/src/workers/worker-starts.ts
+++ b/src/workers/worker-starts.ts
@@ -98,11 +98,20 @@
     return Math.max(...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt)) + this._limits.maximumCallDelayMilliseconds
   }
 
+  /**
+   * Lets the worker refuse all orders from before by a higher fencing token, since another incarnation may have been meant.
+   *
+   * @param ordersOverAt epoch milliseconds by which none of them is carried out any more in any case.
+   */
+  shutOutOrders (ordersOverAt: number): void {
+    this.formerOrders.incarnationStarted(ordersOverAt, this._raiseToken())
+  }
+
   /** Forgets what the former incarnation has seen, and raises the fencing token, so that the present one refuses the orders for it from the first answer on. */
   protected forgetTokens (now: number): void {
     this.unsettledRuns.clear()
     this._confirmedToken = 0
-    this.formerOrders.incarnationStarted(Math.max(now + this._limits.maximumCallDelayMilliseconds, this.ordersOverAt), this._raiseToken())
+    this.shutOutOrders(Math.max(now + this._limits.maximumCallDelayMilliseconds, this.ordersOverAt))
   }
 
   /** Returns the least token that orders for the former incarnation don't have; Infinity if there is none. */
--- a/src/workers/worker-table.ts
+++ b/src/workers/worker-table.ts
@@ -193,12 +193,19 @@
     return worker
   }
 
+  /** Age up to which an order for a former incarnation may reach one, in milliseconds. */
+  private get _youthMilliseconds (): number {
+    return this._inheritedLeases.limits.maximumCallDelayMilliseconds + MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS
+  }
+
   /** Applies to a worker, in an incarnation of which an earlier owner may have known, what the journal says of its longest lease, and whether there may be one of which it says nothing. */
   inheritFormerOrders (worker: FleetWorker): void {
-    const { isYoung, formerOrders, entry: { id, incarnation } } = worker
+    const { formerOrders, entry: { id, incarnation } } = worker
     const expiresAt = this._earlierOwners.longestLeaseExpiry(id, incarnation)
     formerOrders.inherit(expiresAt ?? 0)
-    if (expiresAt === null && isYoung && this._clock.now() < worker.longestLeaseExpiresAt(this._inheritedLeases.startsOverAt)) formerOrders.suspect()
+    if (expiresAt !== null) return
+    const youngUntil = this._clock.now() - this._clock.timeOfDay() + incarnation + this._youthMilliseconds
+    formerOrders.suspect(Math.min(youngUntil, this._inheritedLeases.startsOverAt))
   }
 
   /** Creates a worker with the leases that earlier owners may have requested. */
@@ -207,7 +214,7 @@
     worker.hasLeaseBound = this._earlierOwners.leaseBound(entry.id, entry.incarnation) !== null
     worker.inheritedStartsExpireAt = this._inheritedLeases.startsExpiryOf(entry.id)
     worker.boundExpiresAt = Infinity
-    worker.isYoung = this._clock.timeOfDay() < entry.incarnation + this._inheritedLeases.limits.maximumCallDelayMilliseconds + MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS
+    worker.isYoung = this._clock.timeOfDay() < entry.incarnation + this._youthMilliseconds
     worker.incarnationKnownAt = this._clock.now()
     this.inheritFormerOrders(worker)
     worker.isCordoned = this._cordonedIds.has(entry.id)
