Keep lasting runs whose starts got no response in time

Cause: a start without a response after 600 ms was stopped, whether or not the worker had carried it out. Real processes answer as late as that on a busy machine.

Change: the stop is not sent for a task that lasts. The fencing token is raised as before, and the next report with it decides: the run goes on if it is listed, and otherwise never begins. When no token is left to raise, or the job has been cancelled, the run is stopped as before.

Measured: the two new cases of disruption-budgets.test.ts failed (two of three tasks ended beyond a budget of one; each task started twice) and pass.

--- a/src/runs/start-run-task.ts
+++ b/src/runs/start-run-task.ts
@@ -8,6 +8,7 @@
 import { Task } from '../supervision/task.js'
 import type { AdviceTask } from '../placement/advice-task.js'
 import type { FleetWorker } from '../workers/fleet-worker.js'
+import { keepsUnconfirmedRun } from '../scheduling/keeps-unconfirmed-run.js'
 import type { ScheduledTask } from '../scheduling/scheduled-task.js'
 import type { OwnerPace } from '../scheduling/owner-pace.js'
 import type { RunOrderDispatcher } from '../runs/run-order-dispatcher.js'
@@ -15,8 +16,8 @@
 import type { WorkerError } from '../workers/worker-error.js'
 
 /**
- * Sends the start order once. If there is no response, the worker's fencing token is raised, so that the run cannot start late, and the run is stopped. Shutdown of
- * the owner does not abort the order: an aborted start would waste the run if the worker had accepted it.
+ * Sends the start order once. If there is no response, the worker's fencing token is raised, so that the run cannot start late, and the run is stopped, unless its task lasts: a report with
+ * that token shows whether it has begun. Shutdown of the owner does not abort the order: an aborted start would waste the run if the worker had accepted it.
  */
 export class StartRunTask extends Task {
   override readonly name = 'start-run'
@@ -62,7 +63,7 @@
     } else {
       client?.fence.raiseAbove(token)
       this._outcomes.startUnconfirmed(task, worker, run, sentAt, token)
-      this._dispatcher.stop(worker, name, run)
+      if (task.run !== run || task.worker !== worker || !keepsUnconfirmedRun(task)) this._dispatcher.stop(worker, name, run)
     }
   }
 }
--- a/src/scheduling/scheduled-task.ts
+++ b/src/scheduling/scheduled-task.ts
@@ -8,6 +8,7 @@
 import { CrashHistory } from '../crashes/crash-history.js'
 import type { FleetWorker } from '../workers/fleet-worker.js'
 import type { ScheduledStep } from './scheduled-step.js'
+import { keepsUnconfirmedRun } from './keeps-unconfirmed-run.js'
 import { TaskRun } from './task-run.js'
 
 /** Time for which a task that is suspected after one crash waits for a worker without other runs on trial, in milliseconds. */
@@ -189,7 +190,7 @@
     this.isReported = true
     this.evidenceFrom = 0
     if (this.worker) this.incarnation = this.worker.entry.incarnation
-    if (this.runState === 'inherited' || this.runState === 'starting') this.runState = 'running'
+    if (this.runState === 'inherited' || this.runState === 'starting' || (this.runState === 'settling' && keepsUnconfirmedRun(this))) this.runState = 'running'
     this.confirmedAt = Math.min(this.confirmedAt, now)
     if (this.startOrderedAt !== 0) return
     this.startOrderedAt = now
--- a/src/workers/worker-reconciler.ts
+++ b/src/workers/worker-reconciler.ts
@@ -7,6 +7,7 @@
 import type { FleetSchedule } from '../scheduling/fleet-schedule.js'
 import type { FleetWorker } from './fleet-worker.js'
 import type { ScheduledJobTable } from '../scheduling/scheduled-job-table.js'
+import { keepsUnconfirmedRun } from '../scheduling/keeps-unconfirmed-run.js'
 import type { ScheduledTask } from '../scheduling/scheduled-task.js'
 import type { RunLogTask } from '../runs/run-log-task.js'
 import type { RunOrderDispatcher } from '../runs/run-order-dispatcher.js'
@@ -96,7 +97,7 @@
       if (activeRun?.run === task.run) this._confirmRun(task, activeRun, clock)
       else if (isComplete && (task.runState === 'inherited' || task.confirmedAt < requestedAt || (task.runState === 'settling' && task.startToken < token))) this._schedule.runLost(task, 'not reported by its worker')
       // The earlier stop order may have failed along with the connection; only a confirmed stop shows that the run can no longer start.
-      else if (task.runState === 'settling') this._dispatcher.stop(worker, task.name, task.run)
+      else if (task.runState === 'settling' && !keepsUnconfirmedRun(task)) this._dispatcher.stop(worker, task.name, task.run)
     }
   }
 
--- a/tests/disruption-budgets.test.ts
+++ b/tests/disruption-budgets.test.ts
@@ -2,6 +2,7 @@
  * Tests of how many tasks of a lasting step the owner's own actions end at a time.
  */
 import { expect, test } from 'vitest'
+import { disruptionBudgetViolations } from '../stand-ins/emulator/disruption-budget-violations.js'
 import { EmulatedFleet } from './support/emulated-fleet.js'
 
 const TASKS = ['aaaa.0.0.0', 'aaaa.0.0.1', 'aaaa.0.0.2'] as const
@@ -25,3 +26,22 @@
   expect(stopped?.completedAt).toBeGreaterThan(fleet.starts(TASKS[1]).find(({ run }) => run === 2)?.at ?? Infinity)
   expect(fleet.violations()).toEqual([])
 })
+
+// Guards against starts that are stopped because their responses were late, although the tasks are at work by then.
+test.each([['responses are lost', 0], ['workers are slow', 700]])('lasting tasks whose %s at their start stay at work', async (_, latencyMilliseconds) => {
+  const fleet = await EmulatedFleet.create(4, ['one', 'two'], 1, false)
+  const { faults, workerIncarnations, virtualMachines: { orders } } = fleet.emulator
+  for (const task of TASKS) fleet.outcomesByTask.set(task, { milliseconds: Infinity, result: 'done' })
+  if (latencyMilliseconds === 0) faults.unansweredCallers.set(fleet.owner(), 'workers')
+  else for (const { address } of workerIncarnations) faults.workerLatencies.set(address, latencyMilliseconds)
+  const acceptedAt = fleet.clock.now()
+  fleet.send(fleet.owner(), 'aaaa', [{ count: TASKS.length, isLasting: true, disruptionBudget: 1, maximumPerWorker: 1 }]).catch(() => {})
+  await fleet.clock.advance(1_000)
+  faults.unansweredCallers.clear()
+  faults.workerLatencies.clear()
+  await fleet.clock.advance(10_000)
+  const steps = [{ name: 'aaaa.0.0', tasks: TASKS.length, budget: 1, acceptedAt, cancelledAt: Infinity }]
+  expect(disruptionBudgetViolations({ workers: workerIncarnations, orders, steps, noticeMilliseconds: 4_500, isCalm: () => true })).toEqual([])
+  expect(TASKS.map(task => fleet.starts(task).length)).toEqual([1, 1, 1])
+  expect(fleet.violations()).toEqual([])
+})
