Log what was known of a step when one of its lasting tasks is relocated

No line said which other tasks of a step were taken for at work when one of them was stopped for a move, maintenance or a shutdown, and how old that knowledge was. The decision is in a class of its own now, and is logged with it. What is stopped doesn't change.

--- a/src/capacity/evacuation-task.ts
+++ b/src/capacity/evacuation-task.ts
@@ -1,19 +1,18 @@
 /**
  * Moves tasks off workers that are shutting down or cordoned.
  */
+import type { DecisionLog } from '../observability/decision-log.js'
 import type { Clock } from '../supervision/clock.js'
 import { Task } from '../supervision/task.js'
 import type { FleetSchedule } from '../scheduling/fleet-schedule.js'
 import type { FleetWorker } from '../workers/fleet-worker.js'
 import type { WorkerTable } from '../workers/worker-table.js'
 import type { ScheduledTask } from '../scheduling/scheduled-task.js'
+import { StepAvailability } from './step-availability.js'
 
 /** Time between two checks of all workers, in milliseconds. */
 const POLL_INTERVAL_MILLISECONDS = 60
 
-/** Age of a worker's last report up to which its tasks count as running, in milliseconds. */
-const MAXIMUM_REPORT_AGE_MILLISECONDS = 1_500
-
 /** Time after which ordinary tasks on a cordoned worker are stopped, in milliseconds; most complete before. */
 const CORDON_GRACE_PERIOD_MILLISECONDS = 3_500
 
@@ -26,7 +25,7 @@
   /** Epoch milliseconds since which each worker is being evacuated. */
   private readonly _evacuatingSince = new Map<FleetWorker, number>()
 
-  constructor (private readonly _schedule: FleetSchedule, private readonly _workers: WorkerTable, private readonly _clock: Clock) {
+  constructor (private readonly _schedule: FleetSchedule, private readonly _workers: WorkerTable, private readonly _clock: Clock, private readonly _log: DecisionLog) {
     super()
   }
 
@@ -54,21 +53,13 @@
 
   private _relocate (task: ScheduledTask, worker: FleetWorker, now: number): void {
     if (!this._fitsElsewhere(task, worker, now)) return
+    const { budget, away, reportAgeMilliseconds, permitsStop } = new StepAvailability(task, now)
     // A draining worker stops its tasks anyway; on a cordoned one the disruption budget applies, also to a run that may be at work since its worker's last report.
-    if (!worker.entry.isDraining && !this._isWithinBudget(task, now)) return
+    if (!worker.entry.isDraining && !permitsStop) return
+    this._log.emit('lasting task relocated', { task: task.name, run: task.run, worker: worker.entry.id, isDraining: worker.entry.isDraining, budget, away, reportAgeMilliseconds })
     this._schedule.stop(task)
   }
 
-  private _isWithinBudget (task: ScheduledTask, now: number): boolean {
-    const budget = Math.max(1, task.step.definition.disruptionBudget)
-    const interrupted = task.step.tasks.filter(other => other !== task && !this._isConfirmedRunning(other, now)).length
-    return interrupted < budget
-  }
-
-  private _isConfirmedRunning (task: ScheduledTask, now: number): boolean {
-    return task.isFullyRunning && task.worker !== null && task.worker.lastReportAt > now - MAXIMUM_REPORT_AGE_MILLISECONDS
-  }
-
   private _fitsElsewhere (task: ScheduledTask, from: FleetWorker, now: number): boolean {
     const { maximumPerWorker, requiredLabel } = task.step.definition
     for (const worker of this._workers.all) {
