Don't take a run for one at work that the previous owner may be stopping

Cause: a worker reports a run as running, and fully ready, until its stop is over (200, 400 or 900 ms, by deployment).

Change: a run that another owner has started counts as at work from a report on that was requested after the longest time of a stop had passed since the first report to this owner: from that one on the worker refuses the stops of others. The longest time is part of the settings.

--- a/src/capacity/evacuation-task.ts
+++ b/src/capacity/evacuation-task.ts
@@ -25,7 +25,8 @@
   /** Epoch milliseconds since which each worker is being evacuated. */
   private readonly _evacuatingSince = new Map<FleetWorker, number>()
 
-  constructor (private readonly _schedule: FleetSchedule, private readonly _workers: WorkerTable, private readonly _clock: Clock, private readonly _log: DecisionLog) {
+  /** @param _maximumStopMilliseconds longest time that a worker takes to stop a run. */
+  constructor (private readonly _schedule: FleetSchedule, private readonly _workers: WorkerTable, private readonly _maximumStopMilliseconds: number, private readonly _clock: Clock, private readonly _log: DecisionLog) {
     super()
   }
 
@@ -53,7 +54,7 @@
 
   private _relocate (task: ScheduledTask, worker: FleetWorker, now: number): void {
     if (!this._fitsElsewhere(task, worker, now)) return
-    const { budget, away, reportAgeMilliseconds, permitsStop } = new StepAvailability(task, now)
+    const { budget, away, reportAgeMilliseconds, permitsStop } = new StepAvailability(task, this._maximumStopMilliseconds, now)
     // A draining worker stops its tasks anyway; on a cordoned one the disruption budget applies, also to a run that may be at work since its worker's last report.
     if (!worker.entry.isDraining && !permitsStop) return
     this._log.emit('lasting task relocated', { task: task.name, run: task.run, worker: worker.entry.id, isDraining: worker.entry.isDraining, budget, away, reportAgeMilliseconds })
--- a/src/capacity/step-availability.ts
+++ b/src/capacity/step-availability.ts
@@ -17,16 +17,17 @@
 
   /**
    * @param task the task to stop, which doesn't count.
+   * @param maximumStopMilliseconds longest time for which a worker reports a run that it stops.
    * @param now epoch milliseconds.
    */
-  constructor (task: ScheduledTask, now: number) {
+  constructor (task: ScheduledTask, maximumStopMilliseconds: number, now: number) {
     const others = task.step.tasks.filter(other => other !== task)
     this.budget = Math.max(1, task.step.definition.disruptionBudget)
     this.away = others.flatMap(other => {
-      const reason = reasonForAbsence(other, now)
+      const reason = reasonForAbsence(other, maximumStopMilliseconds, now)
       return reason === '' ? [] : [`${other.index}: ${reason}`]
     })
-    this.reportAgeMilliseconds = Math.round(Math.max(0, ...others.filter(other => reasonForAbsence(other, now) === '').map(({ worker }) => now - (worker?.lastReportAt ?? now))))
+    this.reportAgeMilliseconds = Math.round(Math.max(0, ...others.filter(other => reasonForAbsence(other, maximumStopMilliseconds, now) === '').map(({ worker }) => now - (worker?.lastReportAt ?? now))))
   }
 
   /** Whether the task may be stopped. */
@@ -36,9 +37,11 @@
 }
 
 /** Returns why a task can't be taken for one at work; empty if it can. */
-function reasonForAbsence ({ isFullyRunning, phase, runState, worker, progressPercent }: ScheduledTask, now: number): string {
+function reasonForAbsence ({ isFullyRunning, phase, runState, worker, progressPercent, otherStopsOverAt }: ScheduledTask, maximumStopMilliseconds: number, now: number): string {
   if (phase !== 'placed' || !worker) return phase
   if (!isFullyRunning) return runState === 'running' ? `ready to ${progressPercent}%` : runState
+  // The previous owner may have ordered a stop just before the worker learned of the present one.
+  if (worker.reportRequestedAt < otherStopsOverAt + maximumStopMilliseconds) return 'may be stopping'
   const reportAgeMilliseconds = now - worker.lastReportAt
   return reportAgeMilliseconds < MAXIMUM_REPORT_AGE_MILLISECONDS ? '' : `reported ${Math.round(reportAgeMilliseconds)} ms ago`
 }
--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -167,7 +167,7 @@
     for (const child of [
       runLog, orders, writer, leaseRenewals, workerRegistry, advice, takeover,
       new OutcomeRetentionTask(jobTable, scheduledJobs, writer, submissionWriter, timings.statusRetentionMilliseconds, clock),
-      new EvacuationTask(schedule, workerTable, clock, log), health, new FillerThrottlingTask(workerTable, clock, random, metrics, log)
+      new EvacuationTask(schedule, workerTable, timings.maximumStopMilliseconds, clock, log), health, new FillerThrottlingTask(workerTable, clock, random, metrics, log)
     ]) owner.add(child)
     if (virtualMachineControl && inventory) for (const child of this._capacityTasks(virtualMachineControl, inventory, scheduledJobs, reservations.teamUsage, workerTable, writer, takeover, timings, term, claim, onLost)) owner.add(child)
     return owner
--- a/src/scheduling/task-run.ts
+++ b/src/scheduling/task-run.ts
@@ -75,6 +75,12 @@
     return !this.isStarted && (this.runState === 'settling' || this.runState === 'starting' || this.runState === 'inherited')
   }
 
+  /** Epoch milliseconds from which on no stop of another owner reaches the current run: that of the first report to this owner; 0 if this owner has started it, Infinity before that report. */
+  get otherStopsOverAt (): number {
+    if (this.startToken < Infinity) return 0
+    return this.startOrderedAt === 0 ? Infinity : this.startOrderedAt
+  }
+
   /** Begins another run; nothing of it has been sent yet. */
   protected resetRun (worker: FleetWorker, run: number, placementNumber: number, placedAtClock: number): void {
     this.run = run
--- a/tests/disruption-budgets.test.ts
+++ b/tests/disruption-budgets.test.ts
@@ -45,3 +45,28 @@
   expect(TASKS.map(task => fleet.starts(task).length)).toEqual([1, 1, 1])
   expect(fleet.violations()).toEqual([])
 })
+
+// Guards against a run that the previous owner is stopping being taken for one at work, because its worker reports it until the stop is over.
+test.each([100, 400])('an owner that takes over while the previous one stops a task in %i ms does not stop another task of its step', async stopMilliseconds => {
+  const fleet = new EmulatedFleet(1)
+  const { emulator } = fleet
+  emulator.faults.stopMilliseconds = stopMilliseconds
+  for (let count = 0; count < 6; count++) emulator.addVirtualMachine('work', 'a')
+  fleet.configure({ hasStandby: false })
+  for (const name of ['one', 'two']) fleet.start(name)
+  await fleet.clock.advance(2_000)
+  for (const task of TASKS) fleet.outcomesByTask.set(task, { milliseconds: Infinity, result: 'done' })
+  const acceptedAt = fleet.clock.now()
+  await fleet.submit('one', 'aaaa', [{ count: TASKS.length, isLasting: true, disruptionBudget: 1, maximumPerWorker: 1 }])
+  await fleet.clock.advance(2_000)
+  const { virtualMachine: first = '' } = emulator.workerIncarnations.find(({ running }) => running.includes(TASKS[2])) ?? {}
+  const { virtualMachine: second = '' } = emulator.workerIncarnations.find(({ running }) => running.includes(TASKS[0])) ?? {}
+  emulator.publish('wave/1', { wave: 1, machines: [first], duration_s: 60, max_count: 1 })
+  while (!emulator.workerIncarnations.some(({ stopOrders }) => stopOrders.length > 0)) await fleet.clock.advance(1)
+  emulator.publish('wave/2', { wave: 2, machines: [second], duration_s: 60, max_count: 1 })
+  await fleet.shutDown(fleet.owner())
+  await fleet.clock.advance(20_000)
+  const steps = [{ name: 'aaaa.0.0', tasks: TASKS.length, budget: 1, acceptedAt, cancelledAt: Infinity }]
+  expect(emulator.virtualMachines.orders).toHaveLength(2)
+  expect(disruptionBudgetViolations({ workers: emulator.workerIncarnations, orders: emulator.virtualMachines.orders, steps, noticeMilliseconds: 4_500, isCalm: () => true })).toEqual([])
+})
