--- a/stand-ins/emulator/emulated-worker.ts
+++ b/stand-ins/emulator/emulated-worker.ts
@@ -68,7 +68,7 @@
   readonly starts: { task: string, run: number, startedAt: number }[] = []
   /** All run completions; `acknowledgedAt` is Infinity until the completion is acknowledged. */
   readonly completions: { task: string, run: number, result: string, completedAt: number, acknowledgedAt: number }[] = []
-  /** Epoch milliseconds at which leases had expired that a call renewed afterwards, for checks. */
+  /** Epoch milliseconds at which its leases have expired, also those that served no run, for checks. */
   readonly leaseExpiries: number[] = []
   /** The first stop of each run that was there, for checks. */
   readonly stopOrders: { task: string, run: number, at: number }[] = []
@@ -79,6 +79,8 @@
   private readonly _highestRuns = new Map<string, number>()
   private _highestToken = 0
   private _leaseDeadline = 0
+  /** Deadline of the last lease whose expiry has been recorded. */
+  private _expiredDeadline = 0
   private _lastCompletionNumber = 0
   private readonly _changed = new Notifier()
 
@@ -208,8 +210,6 @@
   }
 
   private _extendLease (deadline: number): void {
-    const isRenewed = Math.min(deadline, this.clockMilliseconds + this._maximumLeaseMilliseconds) > this._leaseDeadline
-    if (isRenewed && this._leaseDeadline > 0 && this.clockMilliseconds >= this._leaseDeadline) this.leaseExpiries.push(this._clock.now() - (this.clockMilliseconds - this._leaseDeadline) / this.clockRate)
     this._leaseDeadline = Math.max(this._leaseDeadline, Math.min(deadline, this.clockMilliseconds + this._maximumLeaseMilliseconds))
   }
 
@@ -217,6 +217,10 @@
   completeDueRuns (): void {
     const now = this._clock.now()
     const leaseExpiredAt = now - Math.max(0, this.clockMilliseconds - this._leaseDeadline) / this.clockRate
+    if (this.clockMilliseconds >= this._leaseDeadline && this._expiredDeadline < this._leaseDeadline) {
+      this._expiredDeadline = this._leaseDeadline
+      this.leaseExpiries.push(leaseExpiredAt)
+    }
     for (const { task, completesAt, result } of [...this._runs.values()]) {
       if (result !== 'crash' && completesAt <= Math.min(now, leaseExpiredAt)) this._complete(task, result, completesAt)
       else if (this.clockMilliseconds >= this._leaseDeadline) this._complete(task, 'lapsed', leaseExpiredAt)
