--- a/src/workers/worker-registry-follower-task.ts
+++ b/src/workers/worker-registry-follower-task.ts
@@ -99,7 +99,7 @@
     this._leaseSupervisor.start(this._createLeaseRenewalTask(worker)).ended.then(async () => {
       if (worker.client === client) worker.client = null
       await client.close()
-      if (!this._workers.find(id)) this._fences.release(id, this.clock.now())
+      if (!this._workers.find(id)?.client) this._fences.release(id, this.clock.now())
     }).catch((error: Error) => this.log.emit('closing worker connections failed', { worker: id, cause: error.message }))
   }
 
