Send no start after a suspension in which the term may have passed to another owner

What callers saw: two runs at once, the later one beside a run that an owner started long after it had lost its term. Cause: an owner that is suspended between the append of a placement and the start sends the start when it goes on; only tasks that last were checked for the time since their placement. The next owner counts 12 s from its claim for starts that are on their way. Change: no start is sent unless the store has confirmed the term within the last 3 s, by the steady clock and by the time of day; the placement is taken back.

--- a/src/scheduling/fleet-schedule.ts
+++ b/src/scheduling/fleet-schedule.ts
@@ -25,7 +25,7 @@
 
 type RunCompletion = WorkerReport['ended'][number]
 
-/** Time after its placement up to which a run starts whose age later owners take from there, in milliseconds. */
+/** Time after its placement up to which a run starts whose age later owners take from there, and after the store's last confirmation of the term up to which any run does, in milliseconds. */
 const MAXIMUM_START_DELAY_MILLISECONDS = 3_000
 
 /** Every change to a task's phase or worker assignment goes through this class, so that reservations on workers and in team usage always match the schedule. */
@@ -194,7 +194,8 @@
   private _startRun (task: ScheduledTask, worker: FleetWorker, run: number, placedAt: number): void {
     if (task.run !== run || task.worker !== worker || task.runState !== 'intended') return
     const now = this._observability.clock.now()
-    const isLate = task.placedAtClock > 0 && now > placedAt + MAXIMUM_START_DELAY_MILLISECONDS
+    // A process that has been suspended may not be the owner any more.
+    const isLate = (task.placedAtClock > 0 && now > placedAt + MAXIMUM_START_DELAY_MILLISECONDS) || !this._writer.isTermConfirmedWithin(MAXIMUM_START_DELAY_MILLISECONDS)
     if (task.step.job.isFinished || isLate || !this._workers.mayStart(worker, now) || worker.isOvercommitted) {
       if (task.step.definition.isGang) this.stopOtherGangMembers(task)
       this.requeue(task)
