--- a/soak/fault-proxy.ts
+++ b/soak/fault-proxy.ts
@@ -28,6 +28,8 @@
   mode: ProxyMode = 'open'
   /** Delay of each chunk of data, in milliseconds. */
   delayMilliseconds = 0
+  /** Delay of each chunk of a response beyond that, in milliseconds. */
+  responseDelayMilliseconds = 0
   /** Lateness of requests in mode \`late\`, in milliseconds. */
   latenessMilliseconds = 0
   /** IP addresses of callers whose connections carry no data in either direction. */
@@ -84,9 +86,9 @@
       // The rest of a request that is late is late as well.
       if (this.mode === 'late' && !connection.isBlackholed && connection.latenessMilliseconds === 0) connection.latenessMilliseconds = this.latenessMilliseconds
       if (connection.latenessMilliseconds > 0) this._forwardLate(connection, bytes)
-      else this._forward(connection, target, bytes, this.mode === 'silent' || this.blockedCallers.has(callerAddress))
+      else this._forward(connection, target, bytes, this.delayMilliseconds, this.mode === 'silent' || this.blockedCallers.has(callerAddress))
     })
-    target.on('data', bytes => this._forward(connection, caller, bytes, this.mode !== 'open' || connection.latenessMilliseconds > 0 || this.blockedCallers.has(callerAddress)))
+    target.on('data', bytes => this._forward(connection, caller, bytes, this.delayMilliseconds + this.responseDelayMilliseconds, this.mode !== 'open' || connection.latenessMilliseconds > 0 || this.blockedCallers.has(callerAddress)))
     for (const [socket, peer] of [[caller, target], [target, caller]] as const) {
       // A reset by one end causes an error event; the close event that follows destroys the other end.
       socket.on('error', () => {})
@@ -106,11 +108,11 @@
     }, connection.latenessMilliseconds)
   }
 
-  private _forward (connection: ProxiedConnection, destination: Socket, bytes: Buffer, isDropped: boolean): void {
+  private _forward (connection: ProxiedConnection, destination: Socket, bytes: Buffer, delayMilliseconds: number, isDropped: boolean): void {
     // A connection that has lost data can't continue, even after the fault.
     if (isDropped) connection.isBlackholed = true
     if (connection.isBlackholed) return
-    if (this.delayMilliseconds === 0) destination.write(bytes)
-    else setTimeout(() => { if (!connection.isBlackholed && !destination.destroyed) destination.write(bytes) }, this.delayMilliseconds)
+    if (delayMilliseconds === 0) destination.write(bytes)
+    else setTimeout(() => { if (!connection.isBlackholed && !destination.destroyed) destination.write(bytes) }, delayMilliseconds)
   }
 }
--- a/soak/shapes/stalling-panel-shape.ts
+++ b/soak/shapes/stalling-panel-shape.ts
@@ -1,7 +1,9 @@
 /**
  * The deployment cms-panel on machines that stall, with planned changes and without other faults.
  */
+import { LateResponsesAtStart } from '../faults/late-responses-at-start.js'
 import { MaintenanceWave } from '../faults/maintenance-wave.js'
+import { OwnerStallAtStart } from '../faults/owner-stall-at-start.js'
 import { PlannedRestart } from '../faults/planned-restart.js'
 import { ProcessStalls } from '../faults/process-stalls.js'
 import { SettingsReload } from '../faults/settings-reload.js'
@@ -12,6 +14,6 @@
 /** Stalls don't count as disturbances here, so that leases that expire because of them are findings. */
 export class StallingPanelShape extends PanelShape {
   override createFaults (): ReturnType<SoakShape['createFaults']> {
-    return [new ProcessStalls(true), new ProcessStalls(true), new ProcessStalls(true), new ProcessStalls(true), new PlannedRestart(), new SettingsReload(), new MaintenanceWave(), new ZoneEvacuation()]
+    return [new ProcessStalls(true), new ProcessStalls(true), new ProcessStalls(true), new OwnerStallAtStart(true), new LateResponsesAtStart(true), new PlannedRestart(), new SettingsReload(), new MaintenanceWave(), new ZoneEvacuation()]
   }
 }
--- a/soak/soak-fleet.ts
+++ b/soak/soak-fleet.ts
@@ -57,6 +57,8 @@
   readonly workerProxies = new Map<string, FaultProxy>()
   readonly emulator: PlatformEmulator
   readonly ledger: JobLedger
+  /** Called when a worker begins a lasting task. */
+  onLastingStart: (task: string) => void = () => {}
   /** What faults have done so far, each with the epoch milliseconds. */
   readonly events: { readonly at: number, readonly event: string }[] = []
   /** Folder for settings and logs. */
@@ -179,6 +181,7 @@
     const job = this.ledger.jobs.get(task.split('.')[0] ?? '')
     if (job?.isDeadly && job.tasks[0] === task) return { milliseconds: CRASH_DELAY_MILLISECONDS, result: 'crash' }
     const isLasting = job?.isLasting ?? false
+    if (isLasting) this.onLastingStart(task)
     return { milliseconds: isLasting ? Infinity : RUN_DURATION_MILLISECONDS.minimum + this._random.integer(RUN_DURATION_MILLISECONDS.maximum - RUN_DURATION_MILLISECONDS.minimum), result: 'done' }
   }
 
