--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -15,7 +15,7 @@
 const { first, seeds, regressions, shape: shapeName, only, seconds, processes, workers, callers } = await yargs(process.argv.slice(2)).options({
   first: { type: 'number', default: 1, describe: 'first seed' },
   seeds: { type: 'number', default: 1, describe: 'number of consecutive seeds, run one after the other' },
-  regressions: { type: 'boolean', default: false, describe: 'run the seeds that have failed before, instead of --first and --seeds' },
+  regressions: { type: 'boolean', default: false, describe: 'run the seeds that have failed before, each with its own options, instead of --first and --seeds' },
   only: { type: 'array', string: true, default: [] as string[], describe: 'names of the faults of the shape to inject, if not all' },
   seconds: { type: 'number', default: 20, describe: 'duration of fault injection in each run' },
   shape: { choices: ['mixed', 'panel', 'stalling-panel'] as const, default: 'mixed' as const, describe: 'deployment and its faults: small with all kinds of faults, or the size of cms-panel with owners lost beside workers, or with processes that stall' },
@@ -26,11 +26,13 @@
 
 const formatCounts = (counts: ReadonlyMap<string, number>): string => [...counts].sort(([left], [right]) => left < right ? -1 : 1).map(([name, count]) => `${name}: ${count}`).join(', ')
 let failedSeeds = 0
-const selectedSeeds = regressions ? REGRESSION_SEEDS.map(({ seed }) => seed) : Array.from({ length: seeds }, (_, index) => first + index)
-for (const seed of selectedSeeds) {
-  const shape = new SHAPES[shapeName]()
-  const sizes = { processes: processes ?? shape.sizes.processes, workers: workers ?? shape.sizes.workers, callers: callers ?? shape.sizes.callers }
-  const report = await new SoakRun(seed, shape, { ...sizes, faultMilliseconds: seconds * 1_000, only }).run()
+const selectedSeeds = regressions ? REGRESSION_SEEDS : Array.from({ length: seeds }, (_, index) => ({ seed: first + index }))
+for (const selected of selectedSeeds) {
+  const options = { shape: shapeName, only, seconds, processes, workers, callers, ...selected }
+  const { seed } = options
+  const shape = new SHAPES[options.shape]()
+  const sizes = { processes: options.processes ?? shape.sizes.processes, workers: options.workers ?? shape.sizes.workers, callers: options.callers ?? shape.sizes.callers }
+  const report = await new SoakRun(seed, shape, { ...sizes, faultMilliseconds: options.seconds * 1_000, only: options.only }).run()
   if (report.findings.length > 0) failedSeeds += 1
   process.stdout.write(`seed ${seed}: ${report.findings.length} findings; ${report.accepted} of ${report.jobs} jobs accepted; ${formatCounts(report.responseCounts)}; faults: ${formatCounts(report.faultCounts)}\n`)
   for (const finding of report.findings.slice(0, 20)) process.stdout.write(`  ${finding}\n`)
