--- a/tests/support/availability-series/availability-plan.ts
+++ b/tests/support/availability-series/availability-plan.ts
@@ -23,7 +23,9 @@
   readonly shortJobs: readonly { readonly at: number, readonly pool: string, readonly tasks: number, readonly runMilliseconds: number }[]
   readonly waves: readonly { readonly at: number, readonly share: number, readonly maximumAtOnce: number }[]
   readonly owners: readonly { readonly kind: Disturbance<string>, readonly at: number, readonly until: number }[]
-  /** Processes that are held up, whichever they are. */
+  /** Restarts of all processes, one after the other, shut down in order. */
+  readonly restarts: readonly { readonly at: number, readonly gapMilliseconds: number, readonly downMilliseconds: number }[]
+  /** Processes that are held up; a negative number stands for the owner. */
   readonly stalls: readonly { readonly process: number, readonly at: number, readonly milliseconds: number }[]
   /** Periods in which workers are slow, or their responses don't reach the owner. */
   readonly hiccups: readonly { readonly at: number, readonly milliseconds: number, readonly latencyMilliseconds: number }[]
--- a/tests/support/availability-series/availability-player.ts
+++ b/tests/support/availability-series/availability-player.ts
@@ -68,7 +68,7 @@
   }
 
   private _schedule (): void {
-    const { lastingJobs, shortJobs, waves, owners, stalls, hiccups, outages, failures } = this._plan
+    const { lastingJobs, shortJobs, waves, restarts, owners, stalls, hiccups, outages, failures } = this._plan
     for (const [index, job] of lastingJobs.entries()) this._scheduleLastingJob(`d${String(index).padStart(3, '0')}`, job)
     for (const [index, job] of shortJobs.entries()) this._at(job.at, () => this._submitShortJob(`e${String(index).padStart(3, '0')}`, job))
     for (const [index, wave] of waves.entries()) this._at(wave.at, () => this._publishWave(index + 1, wave))
@@ -79,6 +79,7 @@
         if (owner !== '' && this._disturbed.fleet.nodes.size > 1) kind.begin(this._disturbed, owner, this._startedAt + until)
       })
     }
+    for (const { at, gapMilliseconds, downMilliseconds } of restarts) for (const [index, name] of this._plan.processes.entries()) this._at(at + index * gapMilliseconds, () => this._restartProcess(name, downMilliseconds))
     for (const stall of stalls) this._at(stall.at, () => this._stall(stall))
     for (const hiccup of hiccups) this._at(hiccup.at, () => this._beginHiccup(hiccup))
     for (const outage of outages) this._at(outage.at, () => this._beginOutage(outage))
@@ -137,12 +138,25 @@
 
   private _stall ({ process, milliseconds }: AvailabilityPlan['stalls'][number]): void {
     const names = [...this._disturbed.fleet.nodes.keys()]
-    const clock = this._disturbed.fleet.nodes.get(names[process % names.length] ?? '')?.clock
+    const name = process < 0 ? this._disturbed.fleet.owner() : names[process % names.length] ?? ''
+    const clock = this._disturbed.fleet.nodes.get(name)?.clock
     if (!clock || clock.isSuspended) return
     clock.suspend()
     this._disturbed.schedule(this._disturbed.now + milliseconds, () => clock.resume())
   }
 
+  private _restartProcess (name: string, downMilliseconds: number): void {
+    const { nodes } = this._disturbed.fleet
+    const node = nodes.get(name)
+    if (!node || nodes.size === 1) return
+    const restart = (): void => {
+      nodes.delete(name)
+      this._disturbed.schedule(this._disturbed.now + downMilliseconds, () => this._disturbed.restart(name))
+    }
+    node.stop.abort()
+    node.completion.then(restart, restart)
+  }
+
   private _beginHiccup ({ at, milliseconds, latencyMilliseconds }: AvailabilityPlan['hiccups'][number]): void {
     const { fleet, now } = this._disturbed
     const { workerLatencies, unansweredCallers } = fleet.emulator.faults
--- a/tests/support/availability-series/draw-availability-plan.ts
+++ b/tests/support/availability-series/draw-availability-plan.ts
@@ -19,6 +19,9 @@
 const PROCESSES = [2, 4] as const
 const STANDBY_MACHINES = [0, 4] as const
 
+/** Number that stands for the owner among the processes. */
+const OWNER = -1
+
 /** Longest leases of the deployments. */
 const MAXIMUM_LEASES_MILLISECONDS = [6_000, 10_000] as const
 
@@ -44,6 +47,12 @@
 
 /** Times of disturbances and their lengths, in milliseconds. */
 const DISTURBANCES = [0, 3] as const
+const NO_DISTURBANCES = [0, 0] as const
+const STALLS = [1, 5] as const
+const ROLLING_RESTARTS = [1, 2] as const
+const RESTARTS_AT = [0, 12_000] as const
+const RESTART_GAP_MILLISECONDS = [800, 3_000] as const
+const RESTART_DOWN_MILLISECONDS = [300, 1_500] as const
 const DISTURBED_AT = [2_000, 20_000] as const
 const OWNER_AWAY_MILLISECONDS = [200, 7_000] as const
 const STALL_MILLISECONDS = [200, 4_000] as const
@@ -56,13 +65,17 @@
 /** Ends of owners that leave a process for the rest of the series, with those of series of restarts. */
 const OWNER_KINDS = [...OWNER_CHANGES, ...OWNER_ENDS.filter(({ name }) => name.includes('lost') || name.startsWith('cut off'))]
 
+/** What a series has beside waves, moves and runs that fail: everything, processes that are held up, or rolling restarts of the processes. */
+export type AvailabilityMode = 'mixed' | 'stalls' | 'restarts'
+
 /** Draws the plan of a seed. */
-export function drawAvailabilityPlan (seed: number): AvailabilityPlan {
+export function drawAvailabilityPlan (seed: number, mode: AvailabilityMode = 'mixed'): AvailabilityPlan {
   const draw = new Draw(new SeededRandomSource(PLAN_SEEDS + seed))
   const list = <Item>(counts: readonly [number, number], create: () => Item): Item[] => Array.from({ length: draw.within(counts) }, create)
   const workerNumber = (): number => draw.within([0, 1_000])
   const lastingJobs = list(LASTING_JOBS, () => ({ at: draw.isTrue() ? 0 : draw.within(LASTING_JOB_AT), tasks: draw.within(LASTING_TASKS), budget: draw.item(BUDGETS), cancelledAt: draw.within([0, 3]) === 0 ? draw.within(CANCELLED_AT) : Infinity }))
   const drawTime = (): number => draw.isTrue() ? Math.max(0, draw.item(lastingJobs).at + draw.within(NEAR_JOB_MILLISECONDS)) : draw.within(DISTURBED_AT)
+  const disturbances = mode === 'mixed' ? DISTURBANCES : NO_DISTURBANCES
   return {
     seed,
     processes: NAMES.slice(0, draw.within(PROCESSES)),
@@ -74,10 +87,11 @@
     lastingJobs,
     shortJobs: list(SHORT_JOBS, () => ({ at: draw.within(SHORT_JOB_AT), pool: draw.item(POOLS), tasks: draw.within(SHORT_TASKS), runMilliseconds: draw.within(RUN_MILLISECONDS) })),
     waves: list(WAVES, () => ({ at: draw.within(WAVE_AT), share: draw.within(WAVE_SHARE), maximumAtOnce: draw.within(MAXIMUM_AT_ONCE) })),
-    owners: list(DISTURBANCES, () => draw.disturbance(OWNER_KINDS, draw.within(DISTURBED_AT), OWNER_AWAY_MILLISECONDS)),
-    stalls: list(DISTURBANCES, () => ({ process: draw.within([0, NAMES.length - 1]), at: drawTime(), milliseconds: draw.within(STALL_MILLISECONDS) })),
-    hiccups: list(DISTURBANCES, () => ({ at: drawTime(), milliseconds: draw.within(HICCUP_MILLISECONDS), latencyMilliseconds: draw.isTrue() ? draw.within(WORKER_LATENCY_MILLISECONDS) : 0 })),
-    outages: list(DISTURBANCES, () => ({ ...draw.disturbance(WORKER_SILENCES, draw.within(DISTURBED_AT), OUTAGE_MILLISECONDS), workers: list(LOST_WORKERS, workerNumber) })),
+    restarts: list(mode === 'restarts' ? ROLLING_RESTARTS : NO_DISTURBANCES, () => ({ at: draw.within(RESTARTS_AT), gapMilliseconds: draw.within(RESTART_GAP_MILLISECONDS), downMilliseconds: draw.within(RESTART_DOWN_MILLISECONDS) })),
+    owners: list(disturbances, () => draw.disturbance(OWNER_KINDS, draw.within(DISTURBED_AT), OWNER_AWAY_MILLISECONDS)),
+    stalls: list(mode === 'restarts' ? NO_DISTURBANCES : mode === 'stalls' ? STALLS : DISTURBANCES, () => ({ process: draw.isTrue() ? OWNER : draw.within([0, NAMES.length - 1]), at: drawTime(), milliseconds: draw.within(STALL_MILLISECONDS) })),
+    hiccups: list(disturbances, () => ({ at: drawTime(), milliseconds: draw.within(HICCUP_MILLISECONDS), latencyMilliseconds: draw.isTrue() ? draw.within(WORKER_LATENCY_MILLISECONDS) : 0 })),
+    outages: list(disturbances, () => ({ ...draw.disturbance(WORKER_SILENCES, draw.within(DISTURBED_AT), OUTAGE_MILLISECONDS), workers: list(LOST_WORKERS, workerNumber) })),
     failures: list(DISTURBANCES, () => ({ at: draw.within(DISTURBED_AT), worker: workerNumber() }))
   }
 }
