--- a/src/main/owner-tree-factory.ts
+++ b/src/main/owner-tree-factory.ts
@@ -116,7 +116,7 @@
     const pace = new OwnerPace(load)
     const leaseRenewals = this._createSupervisor('holds')
     const orders = this._createSupervisor('orders')
-    const permit = new LeaseRenewalPermit(term, holder, earlierOwners, (): WorkerTable => workerTable, fleetTime, clock)
+    const permit = new LeaseRenewalPermit(term, holder, earlierOwners, (): WorkerTable => workerTable, fleetTime, clock, log)
     const unsettledStarts = new UnsettledStarts(jobTable.settledStarts)
     const writer = new DecisionWriterTask(decisionJournal, decisions, term, claim.sentAt, holder, permit, unsettledStarts, fleetTime, onLost, clock, random, metrics)
     const dispatcher: SupervisedRunOrderDispatcher = new SupervisedRunOrderDispatcher(
@@ -141,7 +141,7 @@
     const reconciler = new WorkerReconciler(schedule, scheduledJobs, workerTable, dispatcher, losses, runLog, health.history, clock, metrics, log)
     const workerFeed = new TopicFeed(new KeyedTopic(store, WORKER_TOPIC, clock, log), record => WorkerCodec.decode(record), log)
     const workerRegistry: WorkerRegistryFollowerTask = new WorkerRegistryFollowerTask(
-      workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(dialer), new OrderFences(term),
+      workerTable, reconciler, leaseRenewals, new HttpWorkerConnector(dialer), new OrderFences(term, timings.maximumCallDelayMilliseconds),
       worker => new LeaseRenewalTask(worker, losses, workerTable, reconciler, writer, leaseBounds, permit, leaseMilliseconds, pace, onLost, clock, random, metrics, log),
       workerFeed, clock, random, metrics, log
     )
@@ -167,7 +167,7 @@
     for (const child of [
       runLog, orders, writer, leaseRenewals, workerRegistry, advice, takeover,
       new OutcomeRetentionTask(jobTable, scheduledJobs, writer, submissionWriter, timings.statusRetentionMilliseconds, clock),
-      new EvacuationTask(schedule, workerTable, clock), health, new FillerThrottlingTask(workerTable, clock, random, metrics, log)
+      new EvacuationTask(schedule, workerTable, timings.maximumStopMilliseconds, clock, log), health, new FillerThrottlingTask(workerTable, clock, random, metrics, log)
     ]) owner.add(child)
     if (virtualMachineControl && inventory) for (const child of this._capacityTasks(virtualMachineControl, inventory, scheduledJobs, reservations.teamUsage, workerTable, writer, takeover, timings, term, claim, onLost)) owner.add(child)
     return owner
--- a/src/workers/worker-starts.ts
+++ b/src/workers/worker-starts.ts
@@ -4,6 +4,7 @@
 import { WORKER_CLOCK_RATE } from '../jobs/worker-clock-rate.js'
 import type { FleetTimings } from '../scheduling/fleet-timings.js'
 import type { TaskRun } from '../scheduling/task-run.js'
+import { FormerOrders } from './former-orders.js'
 import { LEASE_EXPIRY_MARGIN_MILLISECONDS } from './lease-expiry-margin.js'
 import { WorkerContact } from './worker-contact.js'
 
@@ -22,6 +23,8 @@
   inheritedStartsExpireAt = 0
   /** Whether this incarnation had been up for less than the longest delay of a call when this owner learned of it. */
   isYoung = false
+  /** Orders for the former incarnation. */
+  readonly formerOrders: FormerOrders
 
   /**
    * @param _inheritedStartsOverAt epoch milliseconds by which no start of another owner is on its way any more.
@@ -29,6 +32,7 @@
    */
   constructor (private readonly _inheritedStartsOverAt: number, private readonly _limits: Pick<FleetTimings, 'maximumLeaseMilliseconds' | 'maximumCallDelayMilliseconds'>) {
     super()
+    this.formerOrders = new FormerOrders(_limits)
   }
 
   /**
@@ -55,9 +59,10 @@
     return this.client !== null && this.client.fence.token > this._confirmedToken
   }
 
-  /** Records that the worker has answered a call with a fencing token. */
+  /** Records that the worker has answered a call with a fencing token, by its last report. */
   confirmToken (token: number): void {
     this._confirmedToken = Math.max(this._confirmedToken, token)
+    this.formerOrders.answered(token, this.lastReportAt)
     for (const [run, startToken] of this.unsettledRuns) if (startToken < token) this.unsettledRuns.delete(run)
   }
 
@@ -88,14 +93,34 @@
     return runState === 'inherited' ? this._confirmedToken > 0 : startToken < this._confirmedToken
   }
 
-  /** Epoch milliseconds by which the calls with the start orders of all runs have ended; a lease serves all of them. */
-  protected get startCallsEndAt (): number {
-    return Math.max(...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt))
+  /** Epoch milliseconds by which no incarnation carries out an order of before the starts of all runs any more, be it a start or a renewal; a lease serves all of them. */
+  protected get ordersOverAt (): number {
+    return Math.max(...[...this.tasks].map(({ startCallEndsAt }) => startCallEndsAt)) + this._limits.maximumCallDelayMilliseconds
   }
 
-  /** Forgets what the former incarnation has seen. */
-  protected forgetTokens (): void {
+  /**
+   * Lets the worker refuse all orders from before by a higher fencing token, since another incarnation may have been meant.
+   *
+   * @param ordersOverAt epoch milliseconds by which none of them is carried out any more in any case.
+   */
+  shutOutOrders (ordersOverAt: number): void {
+    this.formerOrders.incarnationStarted(ordersOverAt, this._raiseToken())
+  }
+
+  /** Forgets what the former incarnation has seen, and raises the fencing token, so that the present one refuses the orders for it from the first answer on. */
+  protected forgetTokens (now: number): void {
     this.unsettledRuns.clear()
     this._confirmedToken = 0
+    this.shutOutOrders(Math.max(now + this._limits.maximumCallDelayMilliseconds, this.ordersOverAt))
+  }
+
+  /** Returns the least token that orders for the former incarnation don't have; Infinity if there is none. */
+  private _raiseToken (): number {
+    const fence = this.client?.fence
+    // This owner has called no incarnation, and its tokens are higher than those of earlier owners.
+    if (!fence) return 0
+    const { token } = fence
+    fence.raiseAbove(token)
+    return fence.token > token ? fence.token : Infinity
   }
 }
--- a/src/workers/worker-table.ts
+++ b/src/workers/worker-table.ts
@@ -109,12 +109,12 @@
   }
 
   /**
-   * Returns whether a start may be sent to a worker now: it is schedulable, the journal has no bound on its leases, which wouldn't cover the start, and its capacity is known. Where workers don't refuse what exceeds their
+   * Returns whether a start may be sent to a worker now: it is schedulable, the journal has no bound on its leases, which wouldn't cover the start, no order for its former incarnation can be carried out, and its capacity is known. Where workers don't refuse what exceeds their
    * capacity, a capacity that may have shrunk since counts as unknown.
    */
   mayStart (worker: FleetWorker, now: number): boolean {
     const isCapacityKnown = this._configuration.pool(worker.entry.pool)?.rejectsOverload === true || this._registryFreshAt() > now - MAXIMUM_CAPACITY_AGE_MILLISECONDS
-    return this.isSchedulable(worker) && worker.isEntryCurrent && !worker.hasLeaseBound && isCapacityKnown
+    return this.isSchedulable(worker) && worker.isEntryCurrent && !worker.hasLeaseBound && !worker.formerOrders.arePossible(now) && isCapacityKnown
   }
 
   /** Returns whether new tasks may be placed on a worker now: it may be sent starts, and is reachable, under a lease and not in cooldown. */
@@ -193,14 +193,30 @@
     return worker
   }
 
+  /** Age up to which an order for a former incarnation may reach one, in milliseconds. */
+  private get _youthMilliseconds (): number {
+    return this._inheritedLeases.limits.maximumCallDelayMilliseconds + MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS
+  }
+
+  /** Applies to a worker, in an incarnation of which an earlier owner may have known, what the journal says of its longest lease, and whether there may be one of which it says nothing. */
+  inheritFormerOrders (worker: FleetWorker): void {
+    const { formerOrders, entry: { id, incarnation } } = worker
+    const expiresAt = this._earlierOwners.longestLeaseExpiry(id, incarnation)
+    formerOrders.inherit(expiresAt ?? 0)
+    if (expiresAt !== null) return
+    const youngUntil = this._clock.now() - this._clock.timeOfDay() + incarnation + this._youthMilliseconds
+    formerOrders.suspect(Math.min(youngUntil, this._inheritedLeases.startsOverAt))
+  }
+
   /** Creates a worker with the leases that earlier owners may have requested. */
   private _create (entry: WorkerEntry): FleetWorker {
     const worker = new FleetWorker(entry, this._inheritedLeases.expiryOf(entry.id, entry.incarnation), this._inheritedLeases.startsOverAt, this._inheritedLeases.limits)
     worker.hasLeaseBound = this._earlierOwners.leaseBound(entry.id, entry.incarnation) !== null
     worker.inheritedStartsExpireAt = this._inheritedLeases.startsExpiryOf(entry.id)
     worker.boundExpiresAt = Infinity
-    worker.isYoung = this._clock.timeOfDay() < entry.incarnation + this._inheritedLeases.limits.maximumCallDelayMilliseconds + MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS
+    worker.isYoung = this._clock.timeOfDay() < entry.incarnation + this._youthMilliseconds
     worker.incarnationKnownAt = this._clock.now()
+    this.inheritFormerOrders(worker)
     worker.isCordoned = this._cordonedIds.has(entry.id)
     return worker
   }
--- a/stand-ins/emulator/emulator-faults.ts
+++ b/stand-ins/emulator/emulator-faults.ts
@@ -41,6 +41,9 @@
   readonly newestReadDelays = new Map<string, number>()
   /** Topics whose reads the store refuses. */
   readonly unreadableTopics = new Set<string>()
+  /** Times that workers which start from now on take until a run is at work, and to stop one, in milliseconds. */
+  warmUpMilliseconds = 0
+  stopMilliseconds = 0
   /** Time after its start at which a worker registers, in milliseconds. */
   registrationMilliseconds = 0
   /** Bandwidth of the link to a caller, in bytes per second; unlimited for a caller without an entry. */
@@ -75,7 +78,7 @@
   lateStartsReachSuccessors = false
   /** Addresses of workers at which every lease renewal gets no response and is executed late. */
   readonly lateRenewalAddresses = new Set<string>()
-  /** Number of late renewals that another incarnation than the intended one has executed. */
+  /** Number of late renewals that have reached another incarnation than the intended one, which may have refused them. */
   renewalsOnSuccessors = 0
   /** Delay of a late renewal, in milliseconds. */
   lateRenewalMilliseconds = 3_000
@@ -105,8 +108,8 @@
     const milliseconds = call === 'hold' ? this.lateRenewalMilliseconds : this.lateStartMilliseconds
     clock.sleepUntil(clock.now() + milliseconds).then(async () => {
       const executor = this._lateExecutor(intended, current())
-      const response = await executor?.handle(call, { ...order, wait_ms: 0 as never })
-      if (call === 'hold' && response?.status === 200 && executor !== intended) this.renewalsOnSuccessors += 1
+      if (call === 'hold' && executor && executor !== intended) this.renewalsOnSuccessors += 1
+      await executor?.handle(call, order)
     }).catch(() => {})
     return true
   }
