Show that a late renewal acknowledges runs that the next incarnation has accepted

A start that is on its way as a worker restarts may be accepted and done by the next incarnation before the owner has called that. A renewal for the former incarnation, sent before the restart with the number of its last completion and carried out late, makes the next one forget the completion, whose number is as low. The owner's first report lacks the run ('not reported by its worker'), and the task starts again after an end that has been taken note of. The token that is raised at the restart comes too late for this.

Nothing can acknowledge such a run if acknowledgements and starts are not on their way to one worker at once.

--- a/tests/late-renewals.test.ts
+++ b/tests/late-renewals.test.ts
@@ -104,3 +104,31 @@
     expect(fleet.starts(TASK).length).toBeGreaterThan(0)
     expect(fleet.violations()).toEqual([])
   })
+
+// Guards against the same for a run that the next incarnation accepted by itself.
+test.each(LONGEST_LEASES.flatMap(longest => ['stays', 'is lost'].flatMap(owner => [2_000, 3_000, 5_000].map(late => [longest, late, owner] as const))))(
+  'a run that the next incarnation of its worker has accepted and done does not start again when a renewal is carried out late before the first report (longest lease %i ms, %i ms late, its owner %s)', async (longest, late, owner) => {
+    const { fleet, former } = await createFleet(longest)
+    const { emulator, emulator: { faults } } = fleet
+    Object.assign(faults.lateConnections, { repeatMilliseconds: 50, timeoutMilliseconds: Infinity, opensConnection: () => true, losesResponse: () => false })
+    Object.assign(faults, { lateRenewalMilliseconds: late, lateStartsReachSuccessors: true })
+    for (const [task, milliseconds] of [[EARLIER, 1_000], [TASK, 300]] as const) fleet.outcomesByTask.set(task, { milliseconds, result: 'done' })
+    await fleet.submit('two', 'aaaa', [{ preferredRack: 'r1' }])
+    while (former.completions.length === 0) await fleet.clock.advance(5)
+    await fleet.clock.advance(5)
+    faults.lateRenewalAddresses.add(former.address)
+    await fleet.clock.advance(400)
+    emulator.outages.cutPower(former)
+    fleet.send('two', 'bbbb', [{ preferredRack: 'r1' }]).catch(() => {})
+    await fleet.clock.advance(DARK_MILLISECONDS)
+    const worker = emulator.restart(former)
+    if (owner === 'is lost') {
+      await fleet.clock.advance(50)
+      fleet.kill(fleet.owner())
+    }
+    while (faults.renewalsOnSuccessors === 0 && fleet.clock.now() < worker.startedAt + late) await fleet.clock.advance(10)
+    faults.lateRenewalAddresses.clear()
+    await fleet.clock.advance(SETTLING_MILLISECONDS)
+    expect(worker.completions[0]).toMatchObject({ task: TASK, run: 1, result: 'done' })
+    expect(fleet.violations()).toEqual([])
+  })
