Send no call after its deadline when the process was held up before it

Cause: a request that waits for its connection, or for its turn on one, is written once the process goes on, before the timer that gives it up: Node runs timers first, and the cancellation waits one more turn so that arrived responses count.

Change: the deadline is checked when a request is about to be written.

Measured, with calls of 200 ms and a process that stands still for 1 s: over a new connection after 0 and 1 turns and over an open one after 0 and 1 the request arrived, and the caller got 'unknown'; now it is not sent, and the caller gets 'unsent'. The tests of the HTTP clients pass.

--- a/src/platform/http-call.ts
+++ b/src/platform/http-call.ts
@@ -21,8 +21,11 @@
   private readonly _chunks: Buffer[] = []
   private _size = 0
 
-  /** @param _settle called once with the response, or with an error that says whether the call may have been executed. */
-  constructor (private readonly _settle: (result: Either<CallError, CallResponse>) => void) {}
+  /**
+   * @param _settle called once with the response, or with an error that says whether the call may have been executed.
+   * @param _isExpired returns whether the call's deadline has passed.
+   */
+  constructor (private readonly _settle: (result: Either<CallError, CallResponse>) => void, private readonly _isExpired: () => boolean) {}
 
   /** Gives up waiting for the response and closes the connection. */
   cancel (cause: string): void {
@@ -35,6 +38,8 @@
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
+    // A process that is held up while the request waits for a connection would send it now, whatever has become of its reasons, before the timer gives it up.
+    if (this._isExpired()) this.cancel('not sent by the deadline')
     this._controller = controller
     if (this._cancellation) controller.abort(this._cancellation)
   }
--- a/src/platform/http-client.ts
+++ b/src/platform/http-client.ts
@@ -47,7 +47,7 @@
         clearTimeout(timer)
         if (isStoppable) signal.removeEventListener('abort', abort)
         resolve(result)
-      })
+      }, () => this._clock.now() >= deadline)
       const abort = (): void => call.cancel('call was aborted')
       // Timers run before the sockets are read: a process that was held up reads what has arrived before it gives up.
       const timer = setTimeout(() => setImmediate(() => call.cancel('no response by the deadline')), Math.max(1, deadline - this._clock.now()))
--- a/tests/platform-http-clients.test.ts
+++ b/tests/platform-http-clients.test.ts
@@ -165,6 +165,29 @@
   expect((await response).isRight()).toBe(true)
 })
 
+// Guards against orders of a process that was held up between its decision and the call: another process may own the journal by then.
+test.each([['new', 0], ['new', 1], ['open', 0], ['open', 1]])('a call over a %s connection is not sent when the process is held up past the deadline after %i turns', async (kind, turns) => {
+  const source = `
+    const { parentPort } = require('node:worker_threads')
+    const server = require('node:http').createServer((request, response) => { parentPort.postMessage(request.url); response.end('{}') })
+    server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port))`
+  const serverThread = new Worker(source, { eval: true })
+  cleanups.push(() => { serverThread.terminate().catch(() => {}) })
+  const [port] = await once(serverThread, 'message') as [number]
+  const requests: string[] = []
+  serverThread.on('message', (path: string) => requests.push(path))
+  const httpClient = new HttpClient(`127.0.0.1:${port}`, 1, clock)
+  cleanups.push(() => { httpClient.close().catch(() => {}) })
+  const call = (path: string, deadline: number): ReturnType<HttpClient['call']> => httpClient.call({ method: 'POST', path, body: {}, deadline, signal })
+  if (kind === 'open') await call('/first', distantDeadline())
+  const response = call('/order', clock.now() + 200)
+  for (let turn = 0; turn < turns; turn++) await new Promise(resolve => setImmediate(resolve))
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1_000)
+  expect((await response).extract()).toMatchObject({ kind: 'unsent' })
+  expect((await call('/last', distantDeadline())).isRight()).toBe(true)
+  expect(requests).toEqual([...kind === 'open' ? ['/first'] : [], '/last'])
+})
+
 test('a call that cannot be made, because of an invalid header or a closed client, is known to be unsent', async () => {
   const server = createServer((_, response) => response.end('{}')).listen(0, '127.0.0.1')
   cleanups.push(() => server.close())
