Show an incarnation taken for too old by a time of day that is ahead

Cause: whether an incarnation is young is judged by the owner's time of day with a margin of 3 s. Change: tests only.

--- a/tests/orders-for-forgotten-incarnations.test.ts
+++ b/tests/orders-for-forgotten-incarnations.test.ts
@@ -108,3 +108,32 @@
     await fleet.clock.advance(SETTLING_MILLISECONDS)
     expect(fleet.violations()).toEqual([])
   })
+
+// Guards against an owner that takes an incarnation for too old by a time of day that has jumped.
+test.each(LONGEST_LEASES.flatMap(longest => [5_000, 8_000, 9_900].flatMap(noOwnerMilliseconds => [0, 4_000, 5_000].map(clockError => ({ longest, noOwnerMilliseconds, clockError })))))(
+  'a run on a worker that restarted while there was no owner does not run twice at once when the time of day is ahead (longest lease $longest ms, processes back $noOwnerMilliseconds ms after the restart, $clockError ms ahead)', async ({ longest, noOwnerMilliseconds, clockError }) => {
+    const { fleet, former } = await createFleet(longest)
+    Object.assign(fleet.emulator.faults, { lateRenewalMilliseconds: noOwnerMilliseconds - 100, lateStartsReachSuccessors: true })
+    fleet.emulator.faults.lateRenewalAddresses.add(former.address)
+    await fleet.clock.advance(2_300)
+    fleet.emulator.outages.cutPower(former)
+    fleet.emulator.faults.lateRenewalAddresses.clear()
+    for (const name of [...fleet.nodes.keys()]) fleet.kill(name)
+    await fleet.clock.advance(100)
+    fleet.outcomesByTask.set(TASK, { milliseconds: Infinity, result: 'done' })
+    const worker = fleet.emulator.restart(former)
+    worker.clockRate = SLOWEST_RATE
+    await fleet.clock.advance(noOwnerMilliseconds)
+    for (const name of ['four', 'five', 'six']) {
+      const { clock } = fleet.start(name)
+      clock.timeOfDayError = clockError
+    }
+    while (worker.starts.length === 0 && fleet.clock.now() < worker.startedAt + 30_000) {
+      await fleet.clock.advance(20)
+      fleet.send('five', 'bbbb', [{ isLasting: true, preferredRack: 'r1' }]).catch(() => {})
+    }
+    expect(worker.running).toEqual([TASK])
+    fleet.emulator.outages.disconnect(worker)
+    await fleet.clock.advance(SETTLING_MILLISECONDS)
+    expect(fleet.violations()).toEqual([])
+  })
