--- a/soak/faults/restart-before-owner-loss.ts
+++ b/soak/faults/restart-before-owner-loss.ts
@@ -16,8 +16,12 @@
 /** Delays the calls to the workers of a zone until they are back under their IDs, and then kills the owner and cuts these workers off. */
 export class RestartBeforeOwnerLoss extends SoakFault {
   override readonly name = 'owner lost after restarts'
+  private _isActive = false
 
   override async begin (fleet: SoakFleet, random: RandomSource): ReturnType<SoakFault['begin']> {
+    // Several of them at once leave no process to take over before the leases end.
+    if (this._isActive) return () => {}
+    this._isActive = true
     const { clock, emulator, workerProxies } = fleet
     const zone = this.pick(['a', 'b', 'c'], random)
     const workers = fleet.workers.filter(worker => worker.zone === zone)
@@ -41,6 +45,7 @@
       owner.start()
       await clock.sleepUntil(cutUntil)
       for (const proxy of proxies) proxy.mode = 'open'
+      this._isActive = false
     }
   }
 }
