--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -73,9 +73,7 @@
   }
 
   /** Number of jobs in `jobs`. */
-  get size (): number {
-    return this._jobs.size
-  }
+  get size (): number { return this._jobs.size }
 
   /** IDs of the finished jobs of which only the state is kept. */
   get finishedJobIds (): IterableIterator<string> {
@@ -129,9 +127,7 @@
   }
 
   /** Number of records from owners so far; it increases while there is a live owner. */
-  get ownerRecordCount (): number {
-    return this._ownerRecordCount
-  }
+  get ownerRecordCount (): number { return this._ownerRecordCount }
 
   /**
    * Applies one record.
@@ -176,10 +172,8 @@
         this.leaseBounds.withdraw(record.worker)
         return true
       case 'longest-lease':
-        this.longestLeases.apply(record)
-        return true
       case 'longest-lease-end':
-        this.longestLeases.remove(record.worker)
+        this.longestLeases.apply(record)
         return true
       case 'settled-starts':
         this._settledStarts = record.starts
--- a/src/jobs/longest-lease-table.ts
+++ b/src/jobs/longest-lease-table.ts
@@ -27,7 +27,13 @@
   }
 
   /** Applies a record. The same one may be read again, and still runs from the first time. */
-  apply ({ worker, incarnation, at, expiresAt }: Extract<JournalRecord, { kind: 'longest-lease' }>): void {
+  apply (record: Extract<JournalRecord, { kind: 'longest-lease' | 'longest-lease-end' }>): void {
+    const { worker } = record
+    if (record.kind === 'longest-lease-end') {
+      this.remove(worker)
+      return
+    }
+    const { incarnation, at, expiresAt } = record
     const known = this._leases.get(worker)
     if (known?.incarnation === incarnation && known.decidedAt === at && known.expiresAt === expiresAt) return
     this._leases.set(worker, { incarnation, decidedAt: at, expiresAt, expiresAtLatest: this._clock.now() + Math.max(0, expiresAt - at) })
--- a/stand-ins/emulator/disruption-budget-violations.ts
+++ b/stand-ins/emulator/disruption-budget-violations.ts
@@ -5,7 +5,7 @@
 import type { EmulatedWorker } from './emulated-worker.js'
 
 /** A step whose tasks last. */
-export interface BudgetedStep {
+interface BudgetedStep {
   /** Name of the step's tasks without their index: job, occurrence and step. */
   readonly name: string
   /** Number of the step's tasks. */
